--- /dev/null
+++ b/features/engine_runs.feature
@@ -0,0 +1,122 @@
+Feature: A task runs once, whatever becomes of the orders for it
+
+  Scenario: Nothing is sent before it is durable
+    A leader that dies right after sending a start would leave a run behind that
+    its successor knows nothing of. The successor would start the task again, and
+    a coach would get two conflicting plans.
+    Given an engine with 2 workers of 8 accelerators
+    When job "a" of 1 task with 8 accelerators is submitted and planned
+    Then no start is sent
+    When what has changed becomes durable
+    Then 1 start is sent
+
+  Scenario: A start without an answer is stopped and waited for before the next
+    The answer to a start is lost, or the worker carries it out seconds later.
+    Started elsewhere at once, the task would run twice at the same time.
+    Given an engine with 2 workers of 8 accelerators
+    And job "a" of 1 task with 8 accelerators is started
+    When the start of "a" gets no answer
+    Then "a" is ordered to stop and holds its room
+    When a look that left before the stop was answered does not list "a"
+    Then "a" holds its room
+    When the stop of "a" is answered and a later look does not list it
+    Then "a" is planned again under run 2
+
+  Scenario: A run that cannot be reached is not started again before its lease ends
+    A worker is cut off and runs on. Until the longest lease that may have reached
+    it has ended, the task may still be at work there.
+    Given an engine with 2 workers of 8 accelerators
+    And job "a" of 1 task with 8 accelerators is at work
+    When its worker is out of reach for 9 seconds
+    Then "a" is still at work as far as the engine knows
+    When its worker is out of reach for 13 seconds
+    Then "a" waits for its next run
+
+  Scenario: A worker's next life proves that the runs of the last one are over
+    A worker crashes and another incarnation answers at its address.
+    Given an engine with 2 workers of 8 accelerators
+    And job "a" of 1 task with 8 accelerators is at work
+    When another incarnation answers for its worker
+    Then "a" waits for its next run
+
+  Scenario: A gang of which one member is not taken ends whole and starts whole
+    One worker rejects its part of a gang. The other members would wait for it,
+    hold their accelerators, and end alone.
+    Given an engine with 2 workers of 8 accelerators
+    And job "g" of a gang of 2 tasks with 8 accelerators is started
+    When one member of "g" is rejected and the other accepted
+    Then the accepted member of "g" is ordered to stop
+    When the end "stopped" of that member is listed
+    Then "g" is planned again under run 2
+
+  Scenario: An end is acknowledged and shown only when it is durable
+    A leader acknowledges the end of a run and dies before it is stored. The worker
+    has forgotten the end; the successor would run the finished job once more.
+    Given an engine with 2 workers of 8 accelerators
+    And job "a" of 1 task with 8 accelerators is at work
+    When the end "done" of "a" is listed
+    Then "a" is shown as "running" and its end is not acknowledged
+    When what has changed becomes durable
+    Then "a" is shown as "completed" and its end is acknowledged
+
+  Scenario: A successor asks the workers before it starts anything again
+    The leader dies with a task at work. Its successor reads that the task is
+    with a worker, and may not start it elsewhere before that worker has answered.
+    Given an engine with 2 workers of 8 accelerators
+    And job "a" of 1 task with 8 accelerators is at work
+    When a successor loads what was durable
+    Then "a" is not planned by the successor
+    When the worker tells the successor that "a" is at 40 per cent
+    Then the successor shows "a" as "running" with one run
+
+  Scenario: A run that came after it was given up is stopped and holds its room
+    An order is carried out seconds late, after another run has taken its place.
+    Left alone it would overfill its worker and do the work twice.
+    Given an engine with 2 workers of 8 accelerators
+    And job "a" of 1 task with 8 accelerators is started
+    When a worker lists a run of "a" that the engine does not know
+    Then that run is ordered to stop
+    And nothing else is placed on that worker
+
+  Scenario: A job fails only after its last attempt, and by failed ends alone
+    A task is stopped for more urgent work and later fails by its own fault. Only
+    failures count as attempts; otherwise a caller is told too early that its job
+    cannot be done.
+    Given an engine with 2 workers of 8 accelerators
+    And job "a" of 1 task with 8 accelerators and 2 attempts is at work
+    When "a" ends as "stopped", and then as "failed", each time started again
+    Then "a" is shown as "running"
+    When "a" ends as "failed" once more
+    Then "a" is shown as "failed"
+
+  Scenario: A cancelled job is stopped at once and never started again
+    A caller cancels while its job is being started. Whatever is under way must
+    end, and no later pass may start it.
+    Given an engine with 2 workers of 8 accelerators
+    And job "a" of 1 task with 8 accelerators is started
+    When "a" is cancelled
+    Then "a" is ordered to stop and holds its room
+    And no pass plans "a" again
+
+  Scenario: A cancellation that arrives before its job is remembered
+    The two records travel apart. A leader that forgot the cancellation would run
+    a job that its caller was told is cancelled.
+    Given an engine with 2 workers of 8 accelerators
+    When "a" is cancelled and "a" arrives after
+    Then no pass plans "a" again
+
+  Scenario Outline: Room, run numbers and gangs hold through any order of events
+    Orders are accepted, rejected, lost or late, workers vanish and return, jobs are
+    cancelled, leaders change. A worker that guards nothing starts whatever it is
+    told: one wrong count and tasks crash for want of memory.
+    When <events> random events reach an engine and its workers, seed <seed>
+    Then no worker is ever over its capacity
+    And no task ever runs twice at once or after it is done
+    And every order carries a higher run number than the last one of its task
+
+    Examples:
+      | events | seed |
+      | 1500   | 1    |
+      | 1500   | 2    |
+      | 1500   | 3    |
+      | 1500   | 4    |
--- /dev/null
+++ b/features/steps/engine_runs_steps.py
@@ -0,0 +1,306 @@
+from behave import given, then, when
+
+from features.support.engine_chaos import Chaos
+from features.support.engine_world import EngineWorld, make_job, make_step
+from firladder._internal.engine import leases
+from firladder._internal.engine.state import Phase, UnitState
+from firladder._internal.exceptions import OrderRejected, SentUnanswered
+from firladder._internal.models.order import RunningTask, TaskId
+
+
+@given("an engine with {count:d} workers of 8 accelerators")
+def make_engine(context, count):
+    context.engine = EngineWorld(count)
+
+
+@when('job "{name}" of 1 task with 8 accelerators is submitted and planned')
+def submit_one(context, name):
+    context.engine.submit(make_job(name, make_step()))
+    context.engine.plan()
+
+
+@given('job "{name}" of 1 task with 8 accelerators is started')
+def start_one(context, name):
+    context.engine.submit(make_job(name, make_step()))
+    context.started = context.engine.start_all()
+
+
+@given('job "{name}" of a gang of 2 tasks with 8 accelerators is started')
+def start_gang(context, name):
+    context.engine.submit(make_job(name, make_step(2, gang=True)))
+    context.started = context.engine.start_all()
+
+
+@given('job "{name}" of 1 task with 8 accelerators is at work')
+def run_one(context, name):
+    start_one(context, name)
+    accept_started(context)
+
+
+@given('job "{name}" of 1 task with 8 accelerators and 2 attempts is at work')
+def run_two_attempts(context, name):
+    context.engine.submit(make_job(name, make_step(), attempts=2))
+    context.started = context.engine.start_all()
+    accept_started(context)
+
+
+def accept_started(context):
+    engine = context.engine
+    for placement in context.started:
+        worker = engine.core.workers[placement.worker_id]
+        grant = leases.note_grant_sent(worker, now=engine.now, hold_s=10.0)
+        leases.note_grant_answered(
+            worker, grant, sent_at=engine.now, now=engine.now, hold_s=10.0
+        )
+    engine.accept(context.started)
+
+
+@then("no start is sent")
+def check_none_sent(context):
+    assert context.engine.core.take_starts() == []
+
+
+@when("what has changed becomes durable")
+def make_durable(context):
+    context.engine.make_durable()
+
+
+@then("1 start is sent")
+def check_one_sent(context):
+    assert len(context.engine.core.take_starts()) == 1
+
+
+@when('the start of "{name}" gets no answer')
+def lose_answer(context, name):
+    engine = context.engine
+    placement = engine.find_placement(name)
+    engine.core.read_start(placement, SentUnanswered(reason="lost"), engine.now)
+    context.placement = placement
+
+
+@then('"{name}" is ordered to stop and holds its room')
+def check_stopping(context, name):
+    engine = context.engine
+    placement = engine.find_placement(name)
+    assert placement in engine.core.take_stops(engine.now)
+    check_room_held(context, name)
+
+
+@then('"{name}" holds its room')
+def check_room_held(context, name):
+    engine = context.engine
+    worker = engine.core.workers[engine.find_placement(name).worker_id]
+    assert worker.free.accelerators == 0, worker.free
+    assert engine.plan() == 0
+
+
+@when('a look that left before the stop was answered does not list "{name}"')
+def look_early(context, name):
+    engine = context.engine
+    worker = engine.core.workers[context.placement.worker_id]
+    sent_at = engine.now
+    engine.now += 0.1
+    engine.report(worker, sent_at=sent_at)
+
+
+@when('the stop of "{name}" is answered and a later look does not list it')
+def look_late(context, name):
+    engine = context.engine
+    engine.core.read_stop(context.placement, engine.now, engine.now)
+    engine.now += 0.1
+    engine.report(engine.core.workers[context.placement.worker_id])
+
+
+@then('"{name}" is planned again under run 2')
+def check_run_two(context, name):
+    assert context.engine.plan() == 1
+    assert context.engine.find_unit(name).run == 2
+
+
+@when("its worker is out of reach for {seconds:d} seconds")
+def lose_reach(context, seconds):
+    engine = context.engine
+    began = getattr(context, "began", None)
+    if began is None:
+        began = context.began = engine.now
+        placement = context.started[0]
+        worker = engine.core.workers[placement.worker_id]
+        engine.core.note_unreachable(worker, engine.now)
+    engine.core.check_lapses(began + seconds)
+
+
+@then('"{name}" is still at work as far as the engine knows')
+def check_still(context, name):
+    assert context.engine.find_unit(name).state is UnitState.BUSY
+
+
+@then('"{name}" waits for its next run')
+def check_waits(context, name):
+    assert context.engine.find_unit(name).state is UnitState.WAITING
+    assert not context.engine.find_unit(name).placements
+
+
+@when("another incarnation answers for its worker")
+def replace_worker(context):
+    placement = context.started[0]
+    context.engine.core.lose_worker(placement.worker_id, "replaced")
+
+
+@when('one member of "{name}" is rejected and the other accepted')
+def reject_member(context, name):
+    engine = context.engine
+    first, second = context.started
+    engine.core.read_start(second, engine.now, engine.now)
+    rejected = OrderRejected(reason="no room", rejection="no_room")
+    engine.core.read_start(first, rejected, engine.now)
+    context.placement = second
+
+
+@then('the accepted member of "{name}" is ordered to stop')
+def check_member_stopped(context, name):
+    assert context.engine.core.take_stops(context.engine.now) == [context.placement]
+
+
+@when('the end "{how}" of that member is listed')
+def list_member_end(context, how):
+    context.engine.end(context.placement, how)
+    context.engine.now += 2.0
+
+
+@when('the end "{how}" of "{name}" is listed')
+def list_end(context, how, name):
+    context.placement = context.engine.find_placement(name)
+    context.engine.end(context.placement, how)
+
+
+@then('"{name}" is shown as "{state}" and its end is not acknowledged')
+def check_unacknowledged(context, name, state):
+    check_shown(context, name, state)
+    worker = context.engine.core.workers[context.placement.worker_id]
+    assert worker.count_durable_ends() == 0
+
+
+@then('"{name}" is shown as "{state}" and its end is acknowledged')
+def check_acknowledged(context, name, state):
+    check_shown(context, name, state)
+    worker = context.engine.core.workers[context.placement.worker_id]
+    assert worker.count_durable_ends() == 1
+
+
+@then('"{name}" is shown as "{state}"')
+def check_shown(context, name, state):
+    shown = context.engine.core.read_state(name)
+    assert shown is not None and shown.value == state, shown
+
+
+@when("a successor loads what was durable")
+def succeed(context):
+    context.engine.succeed()
+
+
+@then('"{name}" is not planned by the successor')
+def check_successor_waits(context, name):
+    engine = context.engine
+    asked = engine.find_placement(name).worker_id
+    for worker in engine.core.workers.values():
+        if worker.worker_id != asked:
+            engine.claim(worker)
+    assert engine.plan() == 0
+    assert engine.find_placement(name).phase is Phase.RECOVERED
+
+
+@when('the worker tells the successor that "{name}" is at 40 per cent')
+def tell_successor(context, name):
+    engine = context.engine
+    placement = engine.find_placement(name)
+    worker = engine.core.workers[placement.worker_id]
+    engine.report(worker, [RunningTask(placement.task, 1, "", 40)])
+
+
+@then('the successor shows "{name}" as "{state}" with one run')
+def check_successor_shows(context, name, state):
+    check_shown(context, name, state)
+    assert context.engine.find_unit(name).run == 1
+    assert context.engine.plan() == 0
+
+
+@when('a worker lists a run of "{name}" that the engine does not know')
+def list_stray(context, name):
+    engine = context.engine
+    engine.accept(context.started)
+    used = engine.find_placement(name).worker_id
+    other = next(w for w in engine.core.workers.values() if w.worker_id != used)
+    engine.report(other, [RunningTask(TaskId(name, 0, 0, 0), 7, "", 5)])
+    context.other = other
+
+
+@then("that run is ordered to stop")
+def check_stray_stopped(context):
+    stops = context.engine.core.take_stops(context.engine.now)
+    assert [(p.worker_id, p.run) for p in stops] == [(context.other.worker_id, 7)]
+
+
+@then("nothing else is placed on that worker")
+def check_stray_room(context):
+    context.engine.submit(make_job("b", make_step(accelerators=1)))
+    assert context.engine.plan() == 0
+
+
+@when('"{name}" ends as "stopped", and then as "failed", each time started again')
+def end_twice(context, name):
+    engine = context.engine
+    for how in ("stopped", "failed"):
+        engine.end(engine.find_placement(name), how)
+        engine.accept(engine.start_all())
+
+
+@when('"{name}" ends as "failed" once more')
+def fail_again(context, name):
+    context.engine.end(context.engine.find_placement(name), "failed")
+    context.engine.make_durable()
+
+
+@when('"{name}" is cancelled')
+def cancel(context, name):
+    context.engine.core.cancel_job(name)
+
+
+@when('"{name}" is cancelled and "{other}" arrives after')
+def cancel_early(context, name, other):
+    context.engine.core.cancel_job(name)
+    context.engine.submit(make_job(other, make_step()))
+
+
+@then('no pass plans "{name}" again')
+def check_never_planned(context, name):
+    engine = context.engine
+    for placement in list(engine.find_unit(name).placements.values()):
+        engine.end(placement, "stopped")
+    assert engine.plan() == 0
+
+
+@when("{events:d} random events reach an engine and its workers, seed {seed:d}")
+def play_chaos(context, events, seed):
+    context.chaos = Chaos(seed)
+    context.chaos.play(events)
+
+
+def find_problems(context, *words):
+    found = [p for p in context.chaos.problems if any(w in p for w in words)]
+    assert not found, found[:3]
+
+
+@then("no worker is ever over its capacity")
+def check_capacity(context):
+    assert context.chaos.finished > 10, context.chaos.finished
+    find_problems(context, "capacity", "fenced")
+
+
+@then("no task ever runs twice at once or after it is done")
+def check_once(context):
+    find_problems(context, "twice", "after done")
+
+
+@then("every order carries a higher run number than the last one of its task")
+def check_runs(context):
+    find_problems(context, "run number")
--- a/features/steps/protocol_model_steps.py
+++ b/features/steps/protocol_model_steps.py
@@ -13,6 +13,7 @@
     make_peer,
 )
 from firladder._internal.commands.model import format_verdict
+from firladder._internal.etcd.inventory import Inventory
 from firladder._internal.exceptions import RevisionConflict, StoreConflict
 from firladder._internal.fleet.configuration import ConfigurationHolder
 from firladder._internal.gateway.configuration import ConfigurationDesk
@@ -30,7 +31,6 @@
 )
 from firladder._internal.models.message import Identity
 from firladder._internal.models.task import TaskStatus
-from firladder._internal.platform.inventory import Inventory
 from firladder._internal.scheduler.gang_messages import MemberLost
 from firladder._internal.utils.clocks import LogicalClock
 from firladder._internal.utils.events import Timeline
--- a/features/support/golden_parts.py
+++ b/features/support/golden_parts.py
@@ -12,6 +12,8 @@
 
 from features.support.protocol import FakeClock, FakeStore
 from firladder._internal.charts.interpreter import load_chart
+from firladder._internal.etcd.inventory import Inventory
+from firladder._internal.etcd.targets import TargetAnswer
 from firladder._internal.exceptions import PeerUnreachable, StoreUnavailable
 from firladder._internal.fleet.configuration import PREFIX as CONFIGURATION_PREFIX
 from firladder._internal.fleet.configuration import ConfigurationHolder
@@ -27,8 +29,6 @@
 from firladder._internal.models.machine import Machine
 from firladder._internal.models.message import Envelope, Heartbeat, Identity
 from firladder._internal.network.http_server import HttpCall
-from firladder._internal.platform.inventory import Inventory
-from firladder._internal.platform.targets import TargetAnswer
 from firladder._internal.policies.dispatching import find_policies
 from firladder._internal.utils.clocks import LogicalClock
 from firladder._internal.utils.codec import encode_json
--- a/features/support/pages.py
+++ b/features/support/pages.py
@@ -2,13 +2,15 @@
 
 from firladder._internal import network  # noqa: F401
 from firladder._internal.cli.daemon_settings import GATEWAY, SCHEDULER
+from firladder._internal.commands.node import NODE
 from firladder._internal.gateway.daemon import GatewayMetrics
+from firladder._internal.node.metrics import NodeMetrics
 from firladder._internal.scheduler.daemon import SchedulerMetrics
 from firladder._internal.utils.events import Event
 from firladder._internal.utils.settings import Setting
 from standins.site import ROOT
 
-DAEMONS = {"G": GATEWAY, "S": SCHEDULER}
+DAEMONS = {"G": GATEWAY, "S": SCHEDULER, "N": NODE}
 
 
 def read_rows(page: str) -> list[list[str]]:
@@ -28,10 +30,11 @@
     exported = {
         "G": set(GatewayMetrics().registry.collectors),
         "S": set(SchedulerMetrics().registry.collectors),
+        "N": set(NodeMetrics().registry.collectors),
     }
     return {
-        (name, " ".join(r for r in "GS" if name in exported[r]))
-        for name in exported["G"] | exported["S"]
+        (name, " ".join(r for r in "GSN" if name in exported[r]))
+        for name in set().union(*exported.values())
     }
 
 
--- /dev/null
+++ b/src/firladder/_internal/commands/node.py
@@ -0,0 +1,37 @@
+"""Run the process of an entry VM on the users' platform."""
+
+from collections.abc import Mapping, Sequence
+
+from ..cli.exits import EXIT_OK
+from ..utils.logs import configure_logs
+from ..utils.settings import Resolved, Setting, check_choice, check_text
+from .registry import Command
+
+NODE = (
+    Setting("node_file", check_text, "settings file that the platform lays out (TOML)"),
+    Setting("log_level", check_choice("DEBUG", "INFO", "WARNING"), "log level", "INFO"),
+)
+
+
+class NodeCommand(Command):
+    """Take jobs on an entry VM, and schedule them while this node leads."""
+
+    name = "node"
+    settings = NODE
+    examples = ("firladder node --node_file=/etc/firladder/node.toml",)
+
+    def run(self, settings: Mapping[str, Resolved], arguments: Sequence[str]) -> int:
+        """Serve until SIGTERM or SIGINT."""
+        from ..network import run_reactor
+        from ..node.daemon import Node
+
+        configure_logs(
+            process="node", level=settings["log_level"].value, to_stdout=True
+        )
+        path = settings["node_file"].value
+
+        async def serve() -> None:
+            await Node(path).run()
+
+        run_reactor(serve())
+        return EXIT_OK
--- a/src/firladder/_internal/commands/registry.py
+++ b/src/firladder/_internal/commands/registry.py
@@ -37,6 +37,7 @@
 COMMANDS: dict[str, CommandInfo] = {
     "gateway": CommandInfo("daemons", "GatewayCommand", "run a gateway"),
     "scheduler": CommandInfo("daemons", "SchedulerCommand", "run a scheduler"),
+    "node": CommandInfo("node", "NodeCommand", "run an entry VM of the platform"),
     "settings": CommandInfo("settings", "SettingsCommand", "print a daemon's settings"),
     "request": CommandInfo("request", "RequestCommand", "send a request to a service"),
     "submit": CommandInfo("jobs", "SubmitCommand", "submit a job"),
--- /dev/null
+++ b/src/firladder/_internal/engine/__init__.py
@@ -0,0 +1,1 @@
+"""The scheduling core: a state machine without sockets, clocks or randomness."""
--- /dev/null
+++ b/src/firladder/_internal/engine/leases.py
@@ -0,0 +1,60 @@
+"""Until when the runs on a worker may go on if nobody can reach it."""
+
+from .state import Worker
+
+CLOCK_DRIFT = 1.03
+"""A worker's clock may be 2% slow: a lease of 10 s there may last 10.2 s here;
+a little more covers the way to the worker and back."""
+
+LATE_ORDER_S = 12.5
+"""Seconds after which an order without an answer may still be carried out; seen
+up to 12 s."""
+
+BLIND_S = 5.0
+"""Seconds for which a leader that the store does not answer goes on renewing
+what already runs. Outages of the store are about as long; without it each one
+would end all work. A successor waits this much longer for lost workers."""
+
+RENEW_AHEAD = 0.35
+"""Share of the longest lease after which it is renewed: the rest, two thirds, is
+what a cut may last without ending the work behind it."""
+
+
+def choose_deadline(worker: Worker, *, now: float, hold_s: float) -> float | None:
+    """Return the worker's own time at which a lease granted now ends."""
+    if worker.clock_ahead_s is None:
+        return None
+    return now + worker.clock_ahead_s + hold_s
+
+
+def needs_renewal(worker: Worker, *, now: float, hold_s: float) -> bool:
+    """Tell whether the lease of what runs on a worker shall be renewed now."""
+    if not worker.placements:
+        return False
+    return worker.renewed_until - now < hold_s * (1 - RENEW_AHEAD)
+
+
+def note_grant_sent(worker: Worker, *, now: float, hold_s: float) -> int:
+    """Note a lease on its way, which may arrive very late; return its number."""
+    worker.grants_sent += 1
+    worker.open_grants[worker.grants_sent] = now + LATE_ORDER_S + hold_s * CLOCK_DRIFT
+    return worker.grants_sent
+
+
+def note_grant_answered(
+    worker: Worker, number: int, *, sent_at: float, now: float, hold_s: float
+) -> None:
+    """Note that a lease has arrived: it cannot arrive once more."""
+    worker.open_grants.pop(number, None)
+    worker.renewed_until = max(worker.renewed_until, sent_at + hold_s)
+    worker.granted_until = max(worker.granted_until, now + hold_s * CLOCK_DRIFT)
+
+
+def note_grant_dropped(worker: Worker, number: int) -> None:
+    """Note that a lease has certainly not arrived and never will."""
+    worker.open_grants.pop(number, None)
+
+
+def estimate_inherited_lapse(*, now: float, hold_s: float) -> float:
+    """Return when all leases that an earlier leader granted have surely ended."""
+    return now + BLIND_S + LATE_ORDER_S + hold_s * CLOCK_DRIFT
--- /dev/null
+++ b/src/firladder/_internal/engine/placement.py
@@ -0,0 +1,131 @@
+"""Choose workers for the tasks of a unit."""
+
+import dataclasses
+import itertools
+from collections.abc import Callable, Collection, Iterable, Sequence
+
+from ..models.workload import Resources, Step
+
+Accept = Callable[["Candidate"], bool]
+
+
+@dataclasses.dataclass(slots=True)
+class Candidate:
+    """A worker that may get tasks, with what is free there in this pass."""
+
+    worker_id: str
+    rack: str
+    labels: frozenset[str]
+    capacity: Resources
+    free: Resources
+    slow: float = 1.0
+
+
+def rank_fit(candidate: Candidate, need: Resources) -> tuple[float, int, int, str]:
+    """Rank workers for a task; the least rank is the best.
+
+    Answers mixed loads of 1 and 8 accelerators: small tasks go where the least
+    is left, so that whole workers stay free for large ones, which otherwise
+    wait until a worker empties by chance. A slow worker comes after all others.
+    """
+    left = candidate.free - need
+    return (
+        round(candidate.slow, 1),
+        left.accelerators,
+        left.memory_mb,
+        candidate.worker_id,
+    )
+
+
+def list_suitable(
+    step: Step, candidates: Iterable[Candidate], avoided: Collection[str]
+) -> list[Candidate]:
+    """Return the workers that the step's label and its past failures allow."""
+    return [
+        c
+        for c in candidates
+        if (not step.label or step.label in c.labels)
+        and c.worker_id not in avoided
+        and c.capacity.covers(step.need)
+    ]
+
+
+def group_by_rack(candidates: Sequence[Candidate]) -> list[list[Candidate]]:
+    """Return the workers rack by rack."""
+    ordered = sorted(candidates, key=lambda c: (c.rack, c.worker_id))
+    grouped = itertools.groupby(ordered, key=lambda c: c.rack)
+    return [list(group) for _, group in grouped]
+
+
+def assign_tasks(
+    step: Step,
+    count: int,
+    candidates: Sequence[Candidate],
+    taken: dict[str, int],
+) -> list[str] | None:
+    """Return a worker for each of ``count`` tasks, or None if some have no room.
+
+    ``taken`` tells how many tasks of the step each worker has already.
+    """
+    free = {c.worker_id: c.free for c in candidates}
+    used = dict(taken)
+    by_id = {c.worker_id: c for c in candidates}
+    chosen: list[str] = []
+    current: str | None = None
+    for _ in range(count):
+        if current is None or not _takes(step, current, free, used):
+            ranked = (
+                (rank_fit(dataclasses.replace(c, free=free[w]), step.need), w)
+                for w, c in by_id.items()
+                if _takes(step, w, free, used)
+            )
+            current = min(ranked, default=((), None))[1]
+            if current is None:
+                return None
+        chosen.append(current)
+        free[current] = free[current] - step.need
+        used[current] = used.get(current, 0) + 1
+    return chosen
+
+
+def _takes(
+    step: Step, worker_id: str, free: dict[str, Resources], used: dict[str, int]
+) -> bool:
+    if step.most_per_worker and used.get(worker_id, 0) >= step.most_per_worker:
+        return False
+    return free[worker_id].covers(step.need)
+
+
+def place_unit(
+    step: Step,
+    count: int,
+    candidates: Sequence[Candidate],
+    *,
+    avoided: Collection[str] = (),
+    taken: dict[str, int] | None = None,
+    spread_allowed: bool = False,
+) -> list[str] | None:
+    """Return a worker for each of ``count`` tasks, or None.
+
+    A gang that wants one rack gets the rack that it fills best. Spread over
+    racks it would take several times as long, and hold its accelerators all
+    that while; only ``spread_allowed`` lets it.
+    """
+    suitable = list_suitable(step, candidates, avoided)
+    held = taken or {}
+    if step.rack:
+        near = [c for c in suitable if c.rack == step.rack]
+        found = assign_tasks(step, count, near, held)
+        if found is not None or not spread_allowed:
+            return found
+    if step.one_rack and count > 1:
+        options = [
+            (sum(c.free.accelerators for c in rack), found)
+            for rack in group_by_rack(suitable)
+            if (found := assign_tasks(step, count, rack, held)) is not None
+        ]
+        if options:
+            return min(options)[1]
+        if not spread_allowed:
+            return None
+    return assign_tasks(step, count, suitable, held)
--- /dev/null
+++ b/src/firladder/_internal/engine/planning.py
@@ -0,0 +1,325 @@
+"""One pass over all waiting work: who starts where, and who makes way."""
+
+import dataclasses
+from collections.abc import Iterator, Sequence
+
+from ..models.workload import Queue, Resources
+from .core import Core
+from .placement import Candidate, group_by_rack, list_suitable, place_unit
+from .preemption import EvictionPlanner
+from .state import Job, Phase, Unit, UnitState, Worker
+
+EVICTION_S = 1.5
+"""Seconds for which room made by an eviction is kept for the unit that it was
+made for; stops take some 200 ms, and a look to see the end."""
+
+MOST_RESERVATIONS = 3
+"""Waiting gangs for which room is kept free in one pass. Each keeps workers from
+smaller work, so that a steady stream of it does not starve the gang; more than
+a few would leave accelerators idle."""
+
+SPREAD_AFTER = 0.6
+"""Share of the urgent objective after which an urgent gang takes any racks."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Claim:
+    workers: tuple[str, ...]
+    until: float
+
+
+class Planner:
+    """Plans passes; remembers only for whom room is being made."""
+
+    def __init__(self, core: Core, *, early_s: float, reclaim_s: float) -> None:
+        """Plan for ``core``.
+
+        ``reclaim_s`` is within what time urgent work must begin; ``early_s`` is
+        how much ahead of its time an occurrence may begin.
+        """
+        self._core = core
+        self._early_s = early_s
+        self._reclaim_s = reclaim_s
+        self._claims: dict[int, _Claim] = {}
+        self._queues: dict[str, Queue] = {}
+        self.next_due_s: float | None = None
+
+    def run_pass(self, *, now: float, wall: float) -> int:
+        """Plan what can start; return how many units were given workers."""
+        core = self._core
+        self._queues = {q.name: q for q in core.configuration.queues}
+        self.next_due_s = None
+        candidates = self._list_candidates(now)
+        waiting = sorted(self._list_waiting(now, wall), key=self._rank)
+        self._hold_claims(waiting, candidates, now)
+        planned = 0
+        blocked: set[tuple[str, int, int]] = set()
+        reservations = 0
+        for unit in waiting:
+            job = unit.job
+            step_key = (job.accepted.job_id, unit.occurrence, unit.step_index)
+            if step_key in blocked:
+                continue
+            pool = candidates.get(self._find_pool(job), [])
+            claim = self._claims.get(id(unit))
+            if claim is not None:
+                planned += self._use_claim(unit, claim, pool)
+                continue
+            workers = self._place(unit, pool, now)
+            if workers is not None:
+                self._plan(unit, workers, pool)
+                planned += 1
+                continue
+            blocked.add(step_key)
+            if job.accepted.priority == 0 and self._make_room(unit, pool, now):
+                continue
+            if len(unit.indices) > 1 and reservations < MOST_RESERVATIONS:
+                reservations += self._reserve(unit, pool, now)
+        return planned
+
+    def _list_candidates(self, now: float) -> dict[str, list[Candidate]]:
+        pools: dict[str, list[Candidate]] = {}
+        for worker in self._core.workers.values():
+            if not self._is_usable(worker, now):
+                continue
+            entry = worker.entry
+            pools.setdefault(entry.pool, []).append(
+                Candidate(
+                    worker.worker_id,
+                    worker.rack,
+                    entry.labels,
+                    entry.capacity,
+                    worker.free,
+                )
+            )
+        return pools
+
+    def _is_usable(self, worker: Worker, now: float) -> bool:
+        return (
+            worker.claimed
+            and worker.listed
+            and worker.reachable
+            and not worker.entry.draining
+            and now >= worker.quarantined_until
+            and now >= worker.full_until
+        )
+
+    def _list_waiting(self, now: float, wall: float) -> Iterator[Unit]:
+        for job in self._core.jobs.values():
+            if job.terminal or job.cancelled:
+                continue
+            if self._find_pool(job) == "":
+                continue
+            for (occurrence, number), units in job.by_step.items():
+                if not self._is_due(job, occurrence, wall):
+                    continue
+                step = job.accepted.workload.steps[number]
+                if not all(
+                    unit.state is UnitState.DONE
+                    for earlier in step.after
+                    for unit in job.by_step[occurrence, earlier]
+                ):
+                    continue
+                for unit in units:
+                    if unit.state is UnitState.WAITING and not unit.placements:
+                        if unit.ready_at < 0:
+                            unit.ready_at = now
+                        yield unit
+
+    def _is_due(self, job: Job, occurrence: int, wall: float) -> bool:
+        workload = job.accepted.workload
+        if workload.occurrences <= 0:
+            return True
+        due = workload.first_at_s + occurrence * workload.interval_s
+        if wall >= due:
+            return True
+        if self.next_due_s is None or due - wall < self.next_due_s:
+            self.next_due_s = due - wall
+        return False
+
+    def _find_pool(self, job: Job) -> str:
+        """Return the pool that the configuration in force gives to the job.
+
+        A queue may have been removed since: its jobs go on where it sent them,
+        as long as that pool exists. Queues with a policy that only an outside
+        service knows are left alone.
+        """
+        queue = self._queues.get(job.accepted.queue)
+        if queue is None:
+            return job.accepted.pool
+        return "" if queue.needs_advice else queue.pool
+
+    def _rank(self, unit: Unit) -> tuple[float, ...]:
+        accepted = unit.job.accepted
+        return (
+            accepted.priority,
+            accepted.accepted_at_s,
+            unit.occurrence,
+            unit.step_index,
+            unit.indices[0],
+        )
+
+    def _hold_claims(
+        self,
+        waiting: Sequence[Unit],
+        candidates: dict[str, list[Candidate]],
+        now: float,
+    ) -> None:
+        live = {id(u) for u in waiting}
+        self._claims = {
+            key: claim
+            for key, claim in self._claims.items()
+            if key in live and now < claim.until
+        }
+        by_id = {c.worker_id: c for pool in candidates.values() for c in pool}
+        for unit in waiting:
+            claim = self._claims.get(id(unit))
+            if claim is None:
+                continue
+            if any(w not in by_id for w in claim.workers):
+                del self._claims[id(unit)]
+                continue
+            for worker_id in claim.workers:
+                by_id[worker_id].free = by_id[worker_id].free - unit.step.need
+
+    def _use_claim(self, unit: Unit, claim: _Claim, pool: Sequence[Candidate]) -> int:
+        by_id = {c.worker_id: c for c in pool}
+        # The claim's own room was taken off before; what is left below zero is
+        # room that stopped work has not given back yet.
+        for worker_id in set(claim.workers):
+            if worker_id not in by_id:
+                # Kept for a gang that came before in this pass.
+                return 0
+            left = by_id[worker_id].free
+            if min(left.cpu_milli, left.memory_mb, left.accelerators) < 0:
+                return 0
+        del self._claims[id(unit)]
+        self._core.plan_run(unit, claim.workers)
+        return 1
+
+    def _place(
+        self, unit: Unit, pool: Sequence[Candidate], now: float
+    ) -> list[str] | None:
+        urgent = unit.job.accepted.priority == 0
+        waited = now - unit.ready_at
+        return place_unit(
+            unit.step,
+            len(unit.indices),
+            pool,
+            avoided=self._list_avoided(unit, pool),
+            taken=self._count_taken(unit),
+            spread_allowed=urgent and waited > self._reclaim_s * SPREAD_AFTER,
+        )
+
+    def _list_avoided(self, unit: Unit, pool: Sequence[Candidate]) -> set[str]:
+        """Return where the unit failed before, unless nothing else is left."""
+        usable = list_suitable(unit.step, pool, unit.avoided)
+        return unit.avoided if usable else set()
+
+    def _count_taken(self, unit: Unit) -> dict[str, int]:
+        if not unit.step.most_per_worker:
+            return {}
+        taken: dict[str, int] = {}
+        for other in unit.job.by_step[unit.occurrence, unit.step_index]:
+            for placement in other.placements.values():
+                taken[placement.worker_id] = taken.get(placement.worker_id, 0) + 1
+        return taken
+
+    def _plan(
+        self, unit: Unit, workers: Sequence[str], pool: Sequence[Candidate]
+    ) -> None:
+        by_id = {c.worker_id: c for c in pool}
+        for worker_id in workers:
+            by_id[worker_id].free = by_id[worker_id].free - unit.step.need
+        self._core.plan_run(unit, workers)
+
+    def _make_room(self, unit: Unit, pool: list[Candidate], now: float) -> bool:
+        planner = EvictionPlanner(candidates=pool, workers=self._core.workers, now=now)
+        avoided = self._list_avoided(unit, pool)
+        found = planner.plan(unit, avoided=avoided, spread_allowed=False)
+        if found is None:
+            found = planner.plan(unit, avoided=avoided, spread_allowed=True)
+        if found is None:
+            return False
+        self._core.note(
+            "room made",
+            job=unit.job.accepted.job_id,
+            victims=sorted({v.job.accepted.job_id for v in found.victims}),
+            cost_core_s=round(found.cost, 1),
+        )
+        for victim in found.victims:
+            self._core.evict(victim)
+        self._claims[id(unit)] = _Claim(found.workers, now + EVICTION_S)
+        by_id = {c.worker_id: c for c in pool}
+        for worker_id in found.workers:
+            by_id[worker_id].free = by_id[worker_id].free - unit.step.need
+        return True
+
+    def _reserve(self, unit: Unit, pool: list[Candidate], now: float) -> bool:
+        """Keep the workers that the gang can have soonest from smaller work."""
+        step = unit.step
+        suitable = list_suitable(step, pool, unit.avoided)
+        groups = group_by_rack(suitable) if step.one_rack else [suitable]
+        best: tuple[float, list[Candidate]] | None = None
+        for group in groups:
+            capacity = sum(_count_fits(c, step.need) for c in group)
+            if capacity < len(unit.indices):
+                continue
+            frees = sorted(
+                ((self._estimate_free(c, now), c) for c in group),
+                key=lambda row: row[0],
+            )
+            chosen: list[Candidate] = []
+            room = 0
+            at = 0.0
+            for free_at, candidate in frees:
+                chosen.append(candidate)
+                room += _count_fits(candidate, step.need)
+                at = free_at
+                if room >= len(unit.indices):
+                    break
+            if best is None or at < best[0]:
+                best = (at, chosen)
+        if best is None:
+            return False
+        kept = {c.worker_id for c in best[1]}
+        pool[:] = [c for c in pool if c.worker_id not in kept]
+        return True
+
+    def _estimate_free(self, candidate: Candidate, now: float) -> float:
+        """Return in how many seconds all work on a worker is likely to be done."""
+        worker = self._core.workers[candidate.worker_id]
+        return max(
+            (self._estimate_left(p.unit, now) for p in worker.placements.values()),
+            default=0.0,
+        )
+
+    def _estimate_left(self, unit: Unit | None, now: float) -> float:
+        if unit is None:
+            return 0.5
+        key = (unit.job.accepted.queue, unit.step_index)
+        expected = self._core.runtimes.get(key, unit.step.estimate_s)
+        active = [p for p in unit.placements.values() if p.phase is Phase.ACTIVE]
+        if not active:
+            return expected
+        elapsed = now - max(p.active_at for p in active)
+        percent = max(p.percent for p in active)
+        if percent >= 20:
+            since = max(p.moved_at for p in active) - max(p.active_at for p in active)
+            total = max(since, 0.1) * 100 / percent
+            return max(0.0, total - elapsed)
+        return max(0.2, expected - elapsed)
+
+
+def _count_fits(candidate: Candidate, need: Resources) -> int:
+    capacity = candidate.capacity
+    parts = [
+        have // want
+        for have, want in (
+            (capacity.cpu_milli, need.cpu_milli),
+            (capacity.memory_mb, need.memory_mb),
+            (capacity.accelerators, need.accelerators),
+        )
+        if want
+    ]
+    return min(parts, default=1)
--- /dev/null
+++ b/src/firladder/_internal/engine/preemption.py
@@ -0,0 +1,161 @@
+"""Choose which running work makes way for urgent work."""
+
+import dataclasses
+from collections.abc import Collection, Iterable, Sequence
+
+from ..models.workload import Resources
+from .placement import Candidate, group_by_rack, list_suitable
+from .state import Phase, Unit, Worker
+
+ACCELERATOR_CORES = 8.0
+"""Cores that one accelerator counts for when lost work is weighed; the price
+list of the platform counts it so."""
+
+RESTART_S = 0.5
+"""Seconds of work that a task with checkpoints loses by a stop: it saves every
+half second, and is restored within a tenth or more."""
+
+NEAR_END_WEIGHT = 1.0
+"""Extra weight of work by the share that is done: what ends soon gives its room
+back by itself, so it is the last to be stopped."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Eviction:
+    """Workers for the tasks of an urgent unit, and the units that must end."""
+
+    workers: tuple[str, ...]
+    victims: tuple[Unit, ...]
+    cost: float
+
+
+def weigh_loss(unit: Unit, now: float) -> float:
+    """Return what is lost when a unit is stopped, in core-seconds."""
+    active = [p for p in unit.placements.values() if p.active_at]
+    if not active:
+        return 0.0
+    need = unit.step.need
+    cores = need.cpu_milli / 1000 + need.accelerators * ACCELERATOR_CORES
+    elapsed = now - max(p.active_at for p in active)
+    done = max(p.percent for p in active) / 100
+    lost_s = min(elapsed, RESTART_S) if unit.step.checkpoints else elapsed
+    return cores * len(active) * lost_s * (1 + NEAR_END_WEIGHT * done)
+
+
+def list_victims(worker: Worker, *, below: int) -> list[Unit]:
+    """Return the units on a worker that may be stopped for priority ``below``."""
+    units = {
+        id(p.unit): p.unit
+        for p in worker.placements.values()
+        if p.unit is not None
+        and p.phase in (Phase.ACTIVE, Phase.SENT)
+        and p.unit.job.accepted.priority > below
+    }
+    return list(units.values())
+
+
+class EvictionPlanner:
+    """Find the cheapest set of units to stop so that an urgent unit fits.
+
+    Answers an urgent gang that meets full workers: an organisation's guaranteed
+    accelerators are lent out while it is silent, and must be back within
+    seconds. Stopping the youngest and the checkpointed work first loses least.
+    """
+
+    def __init__(
+        self,
+        *,
+        candidates: Sequence[Candidate],
+        workers: dict[str, Worker],
+        now: float,
+    ) -> None:
+        """Plan for one pass, on the room that this pass has left."""
+        self._candidates = candidates
+        self._workers = workers
+        self._now = now
+        self._costs: dict[int, float] = {}
+
+    def plan(
+        self, unit: Unit, *, avoided: Collection[str], spread_allowed: bool
+    ) -> Eviction | None:
+        """Return the cheapest eviction, or None if even that makes no room."""
+        step = unit.step
+        suitable = list_suitable(step, self._candidates, avoided)
+        if step.rack and not spread_allowed:
+            suitable = [c for c in suitable if c.rack == step.rack]
+        pools: Iterable[list[Candidate]] = [suitable]
+        if step.one_rack and len(unit.indices) > 1 and not spread_allowed:
+            pools = group_by_rack(suitable)
+        plans = (self._fill(unit, pool) for pool in pools)
+        return min(filter(None, plans), key=lambda p: p.cost, default=None)
+
+    def _fill(self, unit: Unit, pool: Sequence[Candidate]) -> Eviction | None:
+        step = unit.step
+        free = {c.worker_id: c.free for c in pool}
+        used: dict[str, int] = {}
+        victims: dict[int, Unit] = {}
+        chosen: list[str] = []
+        cost = 0.0
+        for _ in unit.indices:
+            best: tuple[float, int, str, list[Unit]] | None = None
+            for candidate in pool:
+                worker_id = candidate.worker_id
+                if step.most_per_worker and (
+                    used.get(worker_id, 0) >= step.most_per_worker
+                ):
+                    continue
+                needed = self._free_on(unit, worker_id, free[worker_id], victims)
+                if needed is None:
+                    continue
+                price = sum(map(self._weigh, needed)) * candidate.slow
+                left = (free[worker_id] - step.need).accelerators
+                row = (price, left, worker_id, needed)
+                if best is None or row[:3] < best[:3]:
+                    best = row
+                if price == 0 and used.get(worker_id):
+                    break
+            if best is None:
+                return None
+            price, _, worker_id, needed = best
+            cost += price
+            for victim in needed:
+                victims[id(victim)] = victim
+                for placement in victim.placements.values():
+                    if placement.worker_id in free:
+                        free[placement.worker_id] += placement.need
+            free[worker_id] = free[worker_id] - step.need
+            used[worker_id] = used.get(worker_id, 0) + 1
+            chosen.append(worker_id)
+        return Eviction(tuple(chosen), tuple(victims.values()), cost)
+
+    def _weigh(self, unit: Unit) -> float:
+        known = self._costs.get(id(unit))
+        if known is None:
+            known = self._costs[id(unit)] = 1.0 + weigh_loss(unit, self._now)
+        return known
+
+    def _free_on(
+        self,
+        unit: Unit,
+        worker_id: str,
+        free: Resources,
+        chosen: dict[int, Unit],
+    ) -> list[Unit] | None:
+        need = unit.step.need
+        if free.covers(need):
+            return []
+        worker = self._workers[worker_id]
+        rows = [
+            u
+            for u in list_victims(worker, below=unit.job.accepted.priority)
+            if id(u) not in chosen
+        ]
+        stopped: list[Unit] = []
+        for victim in sorted(rows, key=self._weigh):
+            stopped.append(victim)
+            for placement in victim.placements.values():
+                if placement.worker_id == worker_id:
+                    free = free + placement.need
+            if free.covers(need):
+                return stopped
+        return None
--- /dev/null
+++ b/src/firladder/_internal/engine/progress.py
@@ -0,0 +1,113 @@
+"""The durable record of a job's progress, written by the leader alone."""
+
+import msgspec
+
+from ..exceptions import MalformedBody
+from ..models.workload import AcceptedJob
+from ..utils.codec import describe_error
+from .state import Job, JobState, Phase, Placement, Unit, UnitState
+
+
+class PlacedTask(msgspec.Struct, frozen=True, array_like=True):
+    """A task of the newest run, and the worker that it was given to."""
+
+    index: int
+    worker_id: str
+
+
+class UnitProgress(msgspec.Struct, frozen=True, array_like=True):
+    """A unit that has left its first state."""
+
+    number: int
+    state: str
+    run: int
+    failures: int
+    checkpoint: str
+    placed: tuple[PlacedTask, ...]
+
+
+class JobProgress(msgspec.Struct, frozen=True, array_like=True):
+    """All that a successor must know of a job beyond its submission.
+
+    ``addresses`` maps the workers named to where they listen: one that is not
+    registered at the moment can still be asked what it runs.
+    """
+
+    state: str
+    units: tuple[UnitProgress, ...]
+    addresses: dict[str, str] = {}
+    ended_at: float = 0.0
+
+
+_accepted_decoder = msgspec.msgpack.Decoder(AcceptedJob)
+_progress_decoder = msgspec.msgpack.Decoder(JobProgress)
+
+
+def encode_accepted(accepted: AcceptedJob) -> bytes:
+    """Return an accepted job as it is stored."""
+    return msgspec.msgpack.encode(accepted)
+
+
+def decode_accepted(value: bytes) -> AcceptedJob | MalformedBody:
+    """Return a stored job, or why the value is none."""
+    try:
+        return _accepted_decoder.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return describe_error(error)
+
+
+def encode_progress(job: Job, addresses: dict[str, str]) -> bytes:
+    """Return the job's progress as it is stored."""
+    units = tuple(
+        UnitProgress(
+            number,
+            unit.state.value,
+            unit.run,
+            unit.failures,
+            unit.checkpoint,
+            tuple(PlacedTask(i, p.worker_id) for i, p in unit.placements.items()),
+        )
+        for number, unit in enumerate(job.units)
+        if unit.run or unit.state is not UnitState.WAITING
+    )
+    named = {p.worker_id for u in units for p in u.placed}
+    known = {w: addresses[w] for w in sorted(named) if w in addresses}
+    return msgspec.msgpack.encode(
+        JobProgress(job.state.value, units, known, job.ended_at)
+    )
+
+
+def decode_progress(value: bytes) -> JobProgress | MalformedBody:
+    """Return a stored progress, or why the value is none."""
+    try:
+        return _progress_decoder.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return describe_error(error)
+
+
+def restore_job(job: Job, progress: JobProgress) -> None:
+    """Bring a fresh job to its recorded progress."""
+    job.state = JobState(progress.state)
+    job.ended_at = progress.ended_at
+    if progress.units and job.state is JobState.QUEUED:
+        job.state = JobState.RUNNING
+    for recorded in progress.units:
+        if recorded.number < len(job.units):
+            _restore_unit(job.units[recorded.number], recorded)
+
+
+def _restore_unit(unit: Unit, recorded: UnitProgress) -> None:
+    unit.state = UnitState(recorded.state)
+    unit.run = recorded.run
+    unit.failures = recorded.failures
+    unit.checkpoint = recorded.checkpoint
+    for placed in recorded.placed:
+        unit.placements[placed.index] = Placement(
+            unit,
+            unit.name_task(placed.index),
+            unit.run,
+            placed.worker_id,
+            unit.step.need,
+            Phase.RECOVERED,
+            settled_at=float("-inf"),
+        )
--- /dev/null
+++ b/src/firladder/_internal/engine/state.py
@@ -0,0 +1,234 @@
+"""What the core knows of jobs, their runs, and the workers that run them."""
+
+import dataclasses
+import enum
+import itertools
+import math
+
+from ..models.order import TaskId
+from ..models.workload import AcceptedJob, Resources, Step, WorkerEntry
+
+
+class Phase(enum.Enum):
+    """How far a placement's orders have come.
+
+    PLANNED is not durable yet, so nothing was sent. RECOVERED comes from the
+    record that an earlier leader left: the worker has not been asked yet.
+    """
+
+    PLANNED = "planned"
+    SENT = "sent"
+    ACTIVE = "active"
+    STOPPING = "stopping"
+    RECOVERED = "recovered"
+
+
+class UnitState(enum.Enum):
+    """Where a unit is between its first plan and its end."""
+
+    WAITING = "waiting"
+    BUSY = "busy"
+    DONE = "done"
+    FAILED = "failed"
+
+
+class JobState(enum.Enum):
+    """What callers are told of a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+TERMINAL = frozenset((JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED))
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Placement:
+    """One task of a run on one worker; it holds room until its end is proved.
+
+    ``settled_at`` is when the last order for it was answered: a look that left
+    later and does not list the task proves that it is not there.
+    """
+
+    unit: "Unit | None"
+    task: TaskId
+    run: int
+    worker_id: str
+    need: Resources
+    phase: Phase
+    settled_at: float = math.inf
+    active_at: float = 0.0
+    percent: float = 0.0
+    moved_at: float = 0.0
+    stop_tried_at: float = -math.inf
+    stop_answered: bool = False
+
+    @property
+    def key(self) -> tuple[TaskId, int]:
+        """Return the task and its run number."""
+        return self.task, self.run
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Unit:
+    """What starts and ends together: a whole gang, or one task of another step."""
+
+    job: "Job"
+    occurrence: int
+    step_index: int
+    indices: tuple[int, ...]
+    state: UnitState = UnitState.WAITING
+    run: int = 0
+    failures: int = 0
+    checkpoint: str = ""
+    checkpoint_at: float = 0.0
+    ready_at: float = -1.0
+    placements: dict[int, Placement] = dataclasses.field(default_factory=dict)
+    run_failed: bool = False
+    planned_version: int = 0
+    avoided: set[str] = dataclasses.field(default_factory=set)
+
+    @property
+    def step(self) -> Step:
+        """Return the step that the unit belongs to."""
+        return self.job.accepted.workload.steps[self.step_index]
+
+    def name_task(self, index: int) -> TaskId:
+        """Return the id of one of the unit's tasks."""
+        return TaskId(self.job.accepted.job_id, self.occurrence, self.step_index, index)
+
+    @property
+    def working(self) -> bool:
+        """Tell whether all tasks of the unit are at work."""
+        return len(self.placements) == len(self.indices) and all(
+            p.phase is Phase.ACTIVE for p in self.placements.values()
+        )
+
+    @property
+    def active_since(self) -> float:
+        """Return when the last of the unit's tasks began to work."""
+        return max((p.active_at for p in self.placements.values()), default=0.0)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Job:
+    """A job and its units. ``version`` counts changes that must be durable."""
+
+    accepted: AcceptedJob
+    units: list[Unit] = dataclasses.field(default_factory=list)
+    state: JobState = JobState.QUEUED
+    version: int = 0
+    durable: int = 0
+    cancelled: bool = False
+    ended_at: float = 0.0
+    by_step: dict[tuple[int, int], list[Unit]] = dataclasses.field(default_factory=dict)
+
+    @property
+    def terminal(self) -> bool:
+        """Tell whether the job's outcome is settled."""
+        return self.state in TERMINAL
+
+    def touch(self) -> None:
+        """Note a change that must become durable."""
+        self.version += 1
+
+
+def build_job(accepted: AcceptedJob) -> Job:
+    """Return a job with all its units waiting."""
+    job = Job(accepted)
+    workload = accepted.workload
+    rounds = range(max(1, workload.occurrences))
+    for occurrence, (number, step) in itertools.product(
+        rounds, enumerate(workload.steps)
+    ):
+        groups = [tuple(range(step.count))]
+        if not step.gang:
+            groups = [(index,) for index in range(step.count)]
+        made = [Unit(job, occurrence, number, group) for group in groups]
+        job.units += made
+        job.by_step[occurrence, number] = made
+    return job
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Worker:
+    """A worker as its leader sees it. Times are the leader's own clock.
+
+    ``granted_until`` is when the leases that arrived have ended, ``open_grants``
+    when those without an answer have. ``renewed_until`` is the same without
+    allowance. ``clock_ahead_s`` is the worker's clock less the leader's.
+    """
+
+    entry: WorkerEntry
+    listed: bool = True
+    claimed: bool = False
+    reachable: bool = True
+    unreachable_at: float = 0.0
+    granted_until: float = 0.0
+    renewed_until: float = 0.0
+    grants_sent: int = 0
+    open_grants: dict[int, float] = dataclasses.field(default_factory=dict)
+    clock_ahead_s: float | None = None
+    last_read: int = 0
+    last_acknowledged: int = 0
+    unacknowledged: list[tuple[int, "Job | None", int]] = dataclasses.field(
+        default_factory=list
+    )
+    placements: dict[tuple[TaskId, int], Placement] = dataclasses.field(
+        default_factory=dict
+    )
+    blamed_by: dict[str, float] = dataclasses.field(default_factory=dict)
+    quarantined_until: float = 0.0
+    full_until: float = 0.0
+
+    @property
+    def worker_id(self) -> str:
+        """Return the incarnation's id."""
+        return self.entry.worker_id
+
+    @property
+    def rack(self) -> str:
+        """Return the label that names the rack, or an empty text."""
+        return find_rack(self.entry.labels)
+
+    @property
+    def free(self) -> Resources:
+        """Return the capacity that no placement holds."""
+        left = self.entry.capacity
+        for placement in self.placements.values():
+            left = left - placement.need
+        return left
+
+    @property
+    def lapses_at(self) -> float:
+        """Return when all that runs there has ended if no call reaches it."""
+        return max(self.granted_until, *self.open_grants.values(), 0.0)
+
+    def count_durable_ends(self) -> int:
+        """Return the highest end up to which all are durable."""
+        durable = self.last_acknowledged
+        for number, job, version in self.unacknowledged:
+            if job is not None and job.durable < version:
+                break
+            durable = number
+        return durable
+
+    def forget_acknowledged(self, number: int) -> None:
+        """Note that the worker was told to forget its ends up to ``number``."""
+        self.last_acknowledged = max(self.last_acknowledged, number)
+        self.unacknowledged = [
+            row for row in self.unacknowledged if row[0] > self.last_acknowledged
+        ]
+
+
+def find_rack(labels: frozenset[str]) -> str:
+    """Return the label that names a rack.
+
+    A worker has two labels, its kind and its rack; racks are written
+    ``r<room>-<number>``.
+    """
+    racks = [x for x in labels if x[:1] == "r" and "-" in x]
+    return min(racks, default="")
--- /dev/null
+++ b/src/firladder/_internal/etcd/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of a small site's outside systems, one narrow interface each."""
--- /dev/null
+++ b/src/firladder/_internal/etcd/workers.py
@@ -0,0 +1,108 @@
+"""Client of the workers' task interface (HTTP and JSON)."""
+
+from typing import TypeVar
+
+import msgspec
+
+from ..exceptions import FencedOff, NotSent, WorkerUnreachable
+from ..models.task import (
+    ClaimWorker,
+    RenewTasks,
+    ReserveTask,
+    StartTask,
+    StopTask,
+    TaskStatus,
+    WorkerReport,
+)
+from ..network.http_client import HttpAnswer, HttpClient
+from ..utils.codec import encode_json
+
+T = TypeVar("T")
+
+CALL_TIMEOUT_S = 1.0
+"""Seconds for a command; a worker answers in milliseconds."""
+
+WorkerFailure = WorkerUnreachable | FencedOff
+
+
+class WorkerClient:
+    """Commands to workers, each under the leader's epoch."""
+
+    def __init__(self, *, http: HttpClient) -> None:
+        """Share one pool of connections among all workers."""
+        self._http = http
+
+    async def claim(self, address: str, epoch: int) -> WorkerReport | WorkerFailure:
+        """Fence lower epochs off, and return all tasks of the worker."""
+        return await self._post(address, "/claim", ClaimWorker(epoch), WorkerReport)
+
+    async def reserve(
+        self, address: str, req: ReserveTask
+    ) -> TaskStatus | WorkerFailure:
+        """Hold accelerators for a task."""
+        return await self._post(address, "/tasks", req, TaskStatus)
+
+    async def start(
+        self, address: str, task: str, epoch: int
+    ) -> TaskStatus | WorkerFailure:
+        """Run a held task."""
+        return await self._post(
+            address, f"/tasks/{task}/start", StartTask(epoch), TaskStatus
+        )
+
+    async def stop(
+        self, address: str, task: str, req: StopTask
+    ) -> TaskStatus | WorkerFailure:
+        """End a task."""
+        return await self._post(address, f"/tasks/{task}/stop", req, TaskStatus)
+
+    async def checkpoint(
+        self, address: str, task: str, epoch: int
+    ) -> TaskStatus | WorkerFailure:
+        """Save a task's progress, so that its job can go on elsewhere."""
+        return await self._post(
+            address, f"/tasks/{task}/checkpoint", StartTask(epoch), TaskStatus
+        )
+
+    async def renew(
+        self, address: str, req: RenewTasks
+    ) -> WorkerReport | WorkerFailure:
+        """Renew the leases of all confirmed tasks of the worker."""
+        return await self._post(address, "/renew", req, WorkerReport)
+
+    async def follow(
+        self, address: str, *, since: int, wait_s: float
+    ) -> WorkerReport | WorkerFailure:
+        """Return the tasks that changed after ``since``, waiting for a change."""
+        answer = await self._http.call(
+            "GET",
+            f"http://{address}/tasks?since={since}&wait_s={wait_s}",
+            timeout_s=wait_s + CALL_TIMEOUT_S,
+        )
+        return _read(answer, WorkerReport)
+
+    async def _post(
+        self, address: str, path: str, req: msgspec.Struct, type_: type[T]
+    ) -> T | WorkerFailure:
+        answer = await self._http.call(
+            "POST",
+            f"http://{address}{path}",
+            body=encode_json(req),
+            timeout_s=CALL_TIMEOUT_S,
+        )
+        return _read(answer, type_)
+
+
+def _read(answer: HttpAnswer | object, type_: type[T]) -> T | WorkerFailure:
+    if not isinstance(answer, HttpAnswer):
+        sent = not isinstance(answer, NotSent)
+        reason = getattr(answer, "reason", "")
+        return WorkerUnreachable(reason=reason, field="sent" if sent else None)
+    if answer.status == 409:
+        return FencedOff(reason="the worker obeys a higher epoch")
+    if answer.status != 200:
+        return WorkerUnreachable(reason=f"the worker answered {answer.status}")
+    try:
+        return msgspec.json.decode(answer.body, type=type_)
+    except msgspec.DecodeError as error:
+        return WorkerUnreachable(reason=f"malformed answer: {error}")
--- a/src/firladder/_internal/evaluation/requests.py
+++ b/src/firladder/_internal/evaluation/requests.py
@@ -13,11 +13,11 @@
 from collections import Counter, deque
 from collections.abc import Callable, Iterator
 
+from ..etcd.inventory import Inventory
 from ..exceptions import Failure
 from ..gateway.targets import TargetTable
 from ..models.configuration import Configuration, Urgency
 from ..models.machine import Machine
-from ..platform.inventory import Inventory
 from ..policies.dispatching import DispatchPolicies, ServiceQueues
 from ..policies.requests import WaitingRequest
 from ..policies.selection import Selector
--- a/src/firladder/_internal/exceptions.py
+++ b/src/firladder/_internal/exceptions.py
@@ -168,6 +168,56 @@
     http_status: ClassVar[int] = 502
 
 
+class HistoryLost(Failure, frozen=True, kw_only=True, tag="history_lost"):
+    """The store no longer has the history that a watch asked for."""
+
+    http_status: ClassVar[int] = 503
+
+
+class LeaseEnded(Failure, frozen=True, kw_only=True, tag="lease_ended"):
+    """A lease of the platform's store has ended, and its keys with it."""
+
+    http_status: ClassVar[int] = 503
+
+
+class OrderRejected(Failure, frozen=True, kw_only=True, tag="order_rejected"):
+    """A worker rejected an order; it has begun nothing for it."""
+
+    http_status: ClassVar[int] = 409
+
+    rejection: str = "other"
+
+
+class WorkerRefused(Failure, frozen=True, kw_only=True, tag="worker_refused"):
+    """An unhealthy worker turned a call away and has done nothing."""
+
+    http_status: ClassVar[int] = 503
+
+
+class WorkerReplaced(Failure, frozen=True, kw_only=True, tag="worker_replaced"):
+    """Another incarnation answers at the worker's address: the one meant is gone."""
+
+    http_status: ClassVar[int] = 503
+
+
+class UnknownKey(Failure, frozen=True, kw_only=True, tag="unknown_key"):
+    """No organisation has the key that came with the call."""
+
+    http_status: ClassVar[int] = 401
+
+
+class JobGone(Failure, frozen=True, kw_only=True, tag="job_gone"):
+    """No such job is known, or it ended so long ago that it was forgotten."""
+
+    http_status: ClassVar[int] = 410
+
+
+class OutcomeUnknown(Failure, frozen=True, kw_only=True, tag="outcome_unknown"):
+    """The store did not tell in time whether the call had its effect."""
+
+    http_status: ClassVar[int] = 504
+
+
 class IllegalTransition(Failure, frozen=True, kw_only=True, tag="illegal_transition"):
     """A state chart has no such transition from its present state."""
 
@@ -205,6 +255,14 @@
     | WorkerUnreachable
     | NotSent
     | SentUnanswered
+    | HistoryLost
+    | LeaseEnded
+    | OrderRejected
+    | WorkerRefused
+    | WorkerReplaced
+    | UnknownKey
+    | JobGone
+    | OutcomeUnknown
     | IllegalTransition
     | CheckerMissing
     | InternalFault
--- a/src/firladder/_internal/fleet/process.py
+++ b/src/firladder/_internal/fleet/process.py
@@ -7,15 +7,15 @@
 from typing import Any
 
 from ..charts.interpreter import ChartInstance, load_chart
+from ..etcd.inventory import PREFIX as VM_PREFIX
+from ..etcd.inventory import Inventory
+from ..etcd.mirror import PrefixMirror
+from ..etcd.store import StoreClient
 from ..models.configuration import Configuration
 from ..models.entry import Entry
 from ..models.message import DaemonRole, Heartbeat, Identity
 from ..network.fabric import Fabric
 from ..network.http_client import HttpClient
-from ..platform.inventory import PREFIX as VM_PREFIX
-from ..platform.inventory import Inventory
-from ..platform.mirror import PrefixMirror
-from ..platform.store import StoreClient
 from ..utils.addresses import split_address
 from ..utils.clocks import LogicalClock, SystemClock
 from ..utils.events import Event, Timeline
--- a/src/firladder/_internal/gateway/configuration.py
+++ b/src/firladder/_internal/gateway/configuration.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ..etcd.inventory import Inventory
+from ..etcd.store import StoreClient
 from ..exceptions import (
     Failure,
     RevisionConflict,
@@ -24,8 +26,6 @@
 from ..models.api import Accepted
 from ..models.configuration import ChangeSet, Configuration, ConfigurationHead
 from ..models.entry import Committed, Compare, Delete, Entry, Put, Snapshot
-from ..platform.inventory import Inventory
-from ..platform.store import StoreClient
 from ..policies.configuring import (
     RESTORE_GAP,
     apply_changes,
--- a/src/firladder/_internal/gateway/daemon.py
+++ b/src/firladder/_internal/gateway/daemon.py
@@ -8,12 +8,12 @@
 from aioprometheus import Histogram
 
 from ..charts.interpreter import load_chart
+from ..etcd.targets import TargetClient, TargetHealth
 from ..fleet.metrics import FleetMetrics
 from ..fleet.process import Process
 from ..models.message import Heartbeat
 from ..models.request import RequestResult
 from ..network.http_server import HttpServer
-from ..platform.targets import TargetClient, TargetHealth
 from ..policies.dispatching import find_policies
 from ..utils.events import Event
 from ..utils.settings import Resolved
--- a/src/firladder/_internal/gateway/dispatch.py
+++ b/src/firladder/_internal/gateway/dispatch.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ..charts.interpreter import Chart, ChartInstance
+from ..etcd.targets import TargetAnswer, TargetClient
 from ..exceptions import (
     DeadlineUnreachable,
     Draining,
@@ -24,7 +25,6 @@
 from ..fleet.configuration import ConfigurationHolder
 from ..models.configuration import Organisation
 from ..models.request import ServiceRequest
-from ..platform.targets import TargetAnswer, TargetClient
 from ..policies.dispatching import DispatchPolicies, ServiceQueues
 from ..policies.requests import TargetView, WaitingRequest
 from ..policies.retrying import RetryBudget
--- a/src/firladder/_internal/gateway/jobs.py
+++ b/src/firladder/_internal/gateway/jobs.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from ..etcd.inventory import Inventory
+from ..etcd.store import StoreClient
 from ..exceptions import (
     DuplicateId,
     Failure,
@@ -17,8 +19,6 @@
 from ..fleet.configuration import ConfigurationHolder
 from ..models.entry import Committed, Compare, Entry, Put
 from ..models.job import JobRecord, JobSpec
-from ..platform.inventory import Inventory
-from ..platform.store import StoreClient
 from ..policies.selection import find_steering
 from ..policies.shifting import choose_domain
 from ..utils.clocks import Clock
--- a/src/firladder/_internal/gateway/ownership.py
+++ b/src/firladder/_internal/gateway/ownership.py
@@ -13,11 +13,11 @@
 
 import msgspec
 
+from ..etcd.store import StoreClient
 from ..exceptions import InvalidValue, StoreConflict, StoreUnavailable, StoreUncertain
 from ..models.entry import Committed, Compare, Lease, Put
 from ..models.message import Identity
 from ..models.request import MAX_DEADLINE_MS
-from ..platform.store import StoreClient
 from ..utils.codec import encode_json
 from ..utils.tokens import mint_write_id
 
--- a/src/firladder/_internal/gateway/targets.py
+++ b/src/firladder/_internal/gateway/targets.py
@@ -3,10 +3,10 @@
 import dataclasses
 from collections.abc import Iterable, Mapping
 
+from ..etcd.inventory import Inventory
 from ..models.configuration import Configuration
 from ..models.machine import Machine
 from ..models.message import Heartbeat
-from ..platform.inventory import Inventory
 from ..policies.requests import TargetView
 from ..policies.routing import INITIAL_LATENCY_S, TargetScore, find_typical_latency
 from ..policies.selection import Selector, collect_labels
--- a/src/firladder/_internal/models/message.py
+++ b/src/firladder/_internal/models/message.py
@@ -134,6 +134,86 @@
     degraded: dict[str, str] = {}
 
 
+class GreetNode(Body, frozen=True, kw_only=True, tag="greet_node"):
+    """Tell a node who asks, which leader it knows and what configuration it has.
+
+    ``leader_token`` is the fencing token of the leader known, 0 for none.
+    """
+
+    ip: str
+    configuration_version: int = 0
+    leader_ip: str = ""
+    leader_token: int = 0
+
+
+class NodeView(Body, frozen=True, kw_only=True, tag="node_view"):
+    """What a node knows; ``configuration`` is empty if the asker's is as new."""
+
+    peers: tuple[str, ...] = ()
+    leader_ip: str = ""
+    leader_token: int = 0
+    configuration: bytes = b""
+
+
+class SpreadConfiguration(Body, frozen=True, kw_only=True, tag="spread_configuration"):
+    """Pass on a configuration that has just been adopted."""
+
+    configuration: bytes
+
+
+class AnnounceJob(Body, frozen=True, kw_only=True, tag="announce_job"):
+    """Tell the leader of a job that is stored: its record."""
+
+    record: bytes
+
+
+class AnnounceCancel(Body, frozen=True, kw_only=True, tag="announce_cancel"):
+    """Tell the leader of a cancellation that is stored."""
+
+    job_id: str
+
+
+class StoreRecord(Body, frozen=True, kw_only=True, tag="store_record"):
+    """Ask a node to store a value under a key unless there is one already."""
+
+    key: str
+    value: bytes
+
+
+class StoreOutcome(Body, frozen=True, kw_only=True, tag="store_outcome"):
+    """What became of it: ``stored``, ``exists``, ``not_stored`` or ``unknown``."""
+
+    outcome: Literal["stored", "exists", "not_stored", "unknown"]
+
+
+class AskJob(Body, frozen=True, kw_only=True, tag="ask_job"):
+    """Ask the leader for the state of a job."""
+
+    job_id: str
+
+
+class AskPending(Body, frozen=True, kw_only=True, tag="ask_pending"):
+    """Ask the leader how many jobs of a queue have not begun."""
+
+    queue: str
+
+
+class JobReply(Body, frozen=True, kw_only=True, tag="job_reply"):
+    """A job's state; empty if the leader does not know the job."""
+
+    state: str = ""
+
+
+class PendingReply(Body, frozen=True, kw_only=True, tag="pending_reply"):
+    """The number of jobs that have not begun."""
+
+    count: int
+
+
+class Received(Body, frozen=True, kw_only=True, tag="received"):
+    """The message was taken in."""
+
+
 AnyBody = (
     Heartbeat
     | HeartbeatAck
@@ -146,6 +226,18 @@
     | FetchDomain
     | DomainReply
     | Refused
+    | GreetNode
+    | NodeView
+    | SpreadConfiguration
+    | AnnounceJob
+    | AnnounceCancel
+    | StoreRecord
+    | StoreOutcome
+    | AskJob
+    | AskPending
+    | JobReply
+    | PendingReply
+    | Received
 )
 
 
--- /dev/null
+++ b/src/firladder/_internal/models/workload.py
@@ -0,0 +1,167 @@
+"""Jobs as the scheduling core sees them: steps of tasks with needs and wishes."""
+
+import dataclasses
+from collections.abc import Iterable
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resources:
+    """An amount of what a worker has: thousandths of a core, MB, accelerators."""
+
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        """Return the sum."""
+        return Resources(
+            self.cpu_milli + other.cpu_milli,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        """Return the difference; a part of it may be negative."""
+        return Resources(
+            self.cpu_milli - other.cpu_milli,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def covers(self, other: "Resources") -> bool:
+        """Tell whether ``other`` fits into this amount."""
+        return (
+            self.cpu_milli >= other.cpu_milli
+            and self.memory_mb >= other.memory_mb
+            and self.accelerators >= other.accelerators
+        )
+
+
+def add_resources(amounts: Iterable[Resources]) -> Resources:
+    """Return the sum of all amounts."""
+    total = Resources()
+    for amount in amounts:
+        total = total + amount
+    return total
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """``count`` like tasks. ``after`` numbers the steps that must be done first.
+
+    ``rack`` names the rack of the data, ``most_per_worker`` 0 means no bound,
+    ``lasting`` tasks run until the job is cancelled.
+    """
+
+    count: int
+    need: Resources
+    estimate_s: float
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    one_rack: bool = False
+    label: str = ""
+    rack: str = ""
+    most_per_worker: int = 0
+    copies_allowed: bool = False
+    lasting: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Workload:
+    """What a caller submitted. ``occurrences`` 0: the steps run once, at once.
+
+    Occurrence K is due at ``first_at_s`` + K x ``interval_s`` (Unix time).
+    """
+
+    payload: str
+    steps: tuple[Step, ...]
+    occurrences: int = 0
+    first_at_s: float = 0.0
+    interval_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AcceptedJob:
+    """An accepted job with the rules of its queue at that time.
+
+    ``accepted_at_s`` is Unix time on the VM that took the job; ``pool`` names
+    the workers that run the queue's tasks.
+    """
+
+    job_id: str
+    queue: str
+    organisation: str
+    pool: str
+    priority: int
+    max_attempts: int
+    stretch: float
+    slo_s: float
+    accepted_at_s: float
+    workload: Workload
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Queue:
+    """A queue of the configuration in force.
+
+    ``stretch`` and ``slo_s`` give the latency objective: ``stretch`` times the
+    longest chain of work, and ``slo_s`` more.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    pool: str
+    public: bool = False
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    slo_s: float = 0.0
+    needs_advice: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pool:
+    """A pool of workers; ``guards_capacity`` tells whether they reject overload."""
+
+    name: str
+    guards_capacity: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Organisation:
+    """An organisation, its keys, and the accelerators that are always its own."""
+
+    name: str
+    keys: frozenset[str] = frozenset()
+    guaranteed_accelerators: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueConfiguration:
+    """One version of the operators' configuration."""
+
+    version: int
+    queues: tuple[Queue, ...] = ()
+    pools: tuple[Pool, ...] = ()
+    organisations: tuple[Organisation, ...] = ()
+    max_body_bytes: int = 262144
+    idle_timeout_s: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerEntry:
+    """One incarnation of a worker, as it registered itself.
+
+    ``leaves_in_s`` is the least time left while it drains.
+    """
+
+    worker_id: str
+    address: str
+    pool: str
+    failure_domain: str
+    capacity: Resources
+    labels: frozenset[str]
+    draining: bool = False
+    leaves_in_s: float | None = None
--- a/src/firladder/_internal/network/fabric.py
+++ b/src/firladder/_internal/network/fabric.py
@@ -38,6 +38,11 @@
 """Milliseconds for a peer's handshake; peers are milliseconds apart. What speaks
 another protocol, or nothing, frees its connection after this time."""
 
+HEARTBEAT_MS = 1000
+"""Milliseconds between two signs of life of a link, and after which silence ends
+it: a connection may fall silent for good without a reset, while a new one would
+work; only this shows it."""
+
 IDLE_LINK_S = 60.0
 """Seconds after which a link that nobody used is closed."""
 
@@ -66,6 +71,9 @@
         socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE)
         socket.setsockopt(zmq.RECONNECT_IVL, 100)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, 2000)
+        socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_MS)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, HEARTBEAT_MS)
         socket.connect(f"tcp://{source_ip}:0;{address}")
         self.socket = socket
         self.outbox: asyncio.Queue[bytes] = asyncio.Queue(HIGH_WATER)
--- a/src/firladder/_internal/network/http_server.py
+++ b/src/firladder/_internal/network/http_server.py
@@ -6,7 +6,7 @@
 import re
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 from twisted.internet import reactor
@@ -71,6 +71,13 @@
     return HttpReply(failure.http_status, encode_json(failure), JSON, headers)
 
 
+class Routes(Protocol):
+    """Finds the handler of a call."""
+
+    def find(self, method: str, path: str) -> tuple[Handler, dict[str, str]] | Failure:
+        """Return the handler and its path parameters, or why there is none."""
+
+
 class RouteTable:
     """A registry of handlers by method and path, filled by a decorator."""
 
@@ -105,7 +112,7 @@
 
     isLeaf = True  # noqa: N815
 
-    def __init__(self, app: Any, routes: RouteTable, tasks: TaskSet) -> None:
+    def __init__(self, app: Any, routes: Routes, tasks: TaskSet) -> None:
         super().__init__()
         self._app = app
         self._routes = routes
@@ -197,7 +204,7 @@
     def __init__(
         self,
         app: Any,
-        routes: RouteTable,
+        routes: Routes,
         *,
         max_body: int = MAX_BODY,
         max_connections: int = MAX_CONNECTIONS,
--- /dev/null
+++ b/src/firladder/_internal/node/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of an entry VM: it takes jobs, and one of the fleet schedules them."""
--- /dev/null
+++ b/src/firladder/_internal/node/attendant.py
@@ -0,0 +1,240 @@
+"""Attend one worker: look what runs there, renew its lease, carry orders."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Protocol
+
+from ..engine import leases
+from ..engine.core import Core
+from ..engine.state import Phase, Placement, Worker
+from ..exceptions import (
+    FencedOff,
+    NotSent,
+    OrderRejected,
+    WorkerRefused,
+    WorkerReplaced,
+)
+from ..models.order import WorkerReport
+from ..platform.workers import CallFailure, WorkerCalls
+from ..utils.clocks import Clock
+
+logger = logging.getLogger(__name__)
+
+LOOK_WAIT_S = 2.0
+"""Seconds that a look waits for an end; each look is priced, and the platform
+lets it wait no longer."""
+
+LOOK_SLACK_S = 0.5
+"""Seconds beyond that until a look's connection counts as silent."""
+
+QUICK_S = 0.6
+"""Seconds for the answer to a look that does not wait."""
+
+LOOK_AGAIN_S = 0.25
+"""Seconds until a failed look is repeated; it doubles up to ``MOST_PAUSE_S``."""
+
+MOST_PAUSE_S = 1.0
+
+DURABLE_WAIT_S = 0.25
+"""Seconds for which a look is put off until the ends that were read are durable:
+a worker answers at once while it has ends that nobody acknowledged."""
+
+
+class Owner(Protocol):
+    """What an attendant needs of the term that it belongs to."""
+
+    core: Core
+    calls: WorkerCalls
+    clock: Clock
+
+    @property
+    def may_renew(self) -> bool:
+        """Tell whether leases may still be renewed."""
+
+    def note_change(self) -> None:
+        """Plan and write what an event has changed."""
+
+    def step_down(self, reason: str) -> None:
+        """End the term."""
+
+
+class Attendant:
+    """The task that owns all calls to one worker."""
+
+    def __init__(self, owner: Owner, worker: Worker) -> None:
+        """Attend ``worker`` for the term ``owner``."""
+        self._owner = owner
+        self._core = owner.core
+        self._worker = worker
+        self._wake = asyncio.Event()
+        self._orders: asyncio.Queue[tuple[Placement, bool]] = asyncio.Queue()
+
+    def wake(self) -> None:
+        """Look again, if there is anything to look at."""
+        self._wake.set()
+
+    def order(self, placement: Placement, *, start: bool) -> None:
+        """Send a start or a stop after the orders before it."""
+        self._orders.put_nowait((placement, start))
+
+    @property
+    def _gone(self) -> bool:
+        return self._core.workers.get(self._worker.worker_id) is not self._worker
+
+    @property
+    def _needs_look(self) -> bool:
+        worker = self._worker
+        return (
+            not worker.claimed
+            or bool(worker.unacknowledged)
+            or any(p.phase is not Phase.PLANNED for p in worker.placements.values())
+        )
+
+    async def watch(self) -> None:
+        """Look as long as there is something to see, until the worker is gone."""
+        pause_s = LOOK_AGAIN_S
+        while not self._gone:
+            if not self._needs_look:
+                self._wake.clear()
+                await self._wake.wait()
+                continue
+            await self._await_durable_ends()
+            if self._gone:
+                return
+            if await self._look():
+                pause_s = LOOK_AGAIN_S
+                continue
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, MOST_PAUSE_S)
+
+    async def _await_durable_ends(self) -> None:
+        worker = self._worker
+        if not worker.unacknowledged:
+            return
+        if worker.count_durable_ends() >= worker.unacknowledged[-1][0]:
+            return
+        self._wake.clear()
+        try:
+            await asyncio.wait_for(self._wake.wait(), DURABLE_WAIT_S)
+        except TimeoutError:
+            # The store is slow or away. The worker is looked at all the same:
+            # its lease must be renewed, and more may have ended.
+            return
+
+    async def _look(self) -> bool:
+        worker, owner = self._worker, self._owner
+        hold_s = self._core.hold_s
+        sent_at = owner.clock.read_monotonic()
+        deadline_s = None
+        grant = 0
+        if owner.may_renew and leases.needs_renewal(worker, now=sent_at, hold_s=hold_s):
+            deadline_s = leases.choose_deadline(worker, now=sent_at, hold_s=hold_s)
+        if deadline_s is not None and worker.reachable:
+            grant = leases.note_grant_sent(worker, now=sent_at, hold_s=hold_s)
+        else:
+            # A lease sent into a cut may arrive late, and nobody could tell
+            # until when the worker's tasks run. So a worker that does not
+            # answer is looked at, and gets its lease when it does.
+            deadline_s = None
+        seen = worker.count_durable_ends()
+        waits = worker.claimed and worker.reachable and deadline_s is None
+        waits = waits and bool(worker.placements)
+        wait_s = LOOK_WAIT_S if waits else 0.0
+        answer = await owner.calls.look(
+            worker.worker_id,
+            worker.entry.address,
+            last_seen=seen,
+            deadline_s=deadline_s,
+            wait_s=wait_s,
+            timeout_s=wait_s + LOOK_SLACK_S if waits else QUICK_S,
+        )
+        now = owner.clock.read_monotonic()
+        if isinstance(answer, WorkerReport):
+            if grant:
+                leases.note_grant_answered(
+                    worker, grant, sent_at=sent_at, now=now, hold_s=hold_s
+                )
+            worker.forget_acknowledged(seen)
+            self._core.read_report(worker, answer, sent_at=sent_at, now=now)
+            owner.note_change()
+            return True
+        if grant and isinstance(answer, NotSent | WorkerRefused | OrderRejected):
+            leases.note_grant_dropped(worker, grant)
+        self._read_failure(answer, now)
+        return False
+
+    def _read_failure(self, answer: CallFailure, now: float) -> None:
+        worker = self._worker
+        if isinstance(answer, FencedOff):
+            self._owner.step_down("a worker knows a higher fencing token")
+        elif isinstance(answer, WorkerReplaced):
+            self._core.lose_worker(worker.worker_id, answer.reason)
+        else:
+            if worker.reachable:
+                logger.info(
+                    "worker unreachable",
+                    extra={"worker": worker.worker_id, "reason": answer.reason},
+                )
+            self._core.note_unreachable(worker, now)
+        self._owner.note_change()
+
+    async def carry_orders(self) -> None:
+        """Send the orders one after the other over one connection."""
+        while not self._gone:
+            placement, start = await self._orders.get()
+            if start:
+                await self._start(placement)
+            else:
+                await self._stop(placement)
+            self.wake()
+            self._owner.note_change()
+
+    async def _start(self, placement: Placement) -> None:
+        worker, owner = self._worker, self._owner
+        if placement.phase is not Phase.SENT or self._gone:
+            return
+        hold_s = self._core.hold_s
+        sent_at = owner.clock.read_monotonic()
+        deadline_s = leases.choose_deadline(worker, now=sent_at, hold_s=hold_s)
+        if deadline_s is None:
+            return
+        grant = leases.note_grant_sent(worker, now=sent_at, hold_s=hold_s)
+        order = self._core.describe_start(placement)
+        answer = await owner.calls.start(order, deadline_s=deadline_s)
+        now = owner.clock.read_monotonic()
+        if isinstance(answer, float | OrderRejected):
+            # A rejected start may still have lengthened the lease.
+            leases.note_grant_answered(
+                worker, grant, sent_at=sent_at, now=now, hold_s=hold_s
+            )
+        elif isinstance(answer, NotSent | WorkerRefused):
+            leases.note_grant_dropped(worker, grant)
+        if not isinstance(answer, float):
+            logger.info(
+                "start not taken",
+                extra={
+                    "job": placement.task.job_id,
+                    "worker": worker.worker_id,
+                    "run": placement.run,
+                    "reason": answer.reason,
+                },
+            )
+        if isinstance(answer, FencedOff):
+            owner.step_down("a worker knows a higher fencing token")
+            return
+        self._core.read_start(placement, answer, now)
+
+    async def _stop(self, placement: Placement) -> None:
+        order = self._core.describe_stop(placement)
+        if order is None or placement.key not in self._worker.placements:
+            return
+        answer = await self._owner.calls.stop(order)
+        if isinstance(answer, FencedOff):
+            self._owner.step_down("a worker knows a higher fencing token")
+            return
+        now = self._owner.clock.read_monotonic()
+        self._core.read_stop(placement, answer, now)
+
+
+AttendantMaker = Callable[[Worker], Attendant]
--- /dev/null
+++ b/src/firladder/_internal/node/configuration.py
@@ -0,0 +1,73 @@
+"""The configuration in force on this node: only rising versions are adopted."""
+
+import logging
+from collections.abc import Callable
+
+from ..exceptions import MalformedBody
+from ..models.workload import Organisation, Queue, QueueConfiguration
+from ..platform.configuration import decode_configuration
+
+logger = logging.getLogger(__name__)
+
+
+class ConfigurationStore:
+    """The newest configuration that this process has seen from anywhere."""
+
+    def __init__(self) -> None:
+        """Start without any."""
+        self.current = QueueConfiguration(0)
+        self.raw = b""
+        self.listeners: list[Callable[[], None]] = []
+        self._by_host: dict[str, list[Queue]] = {}
+        self._by_key: dict[str, Organisation] = {}
+
+    @property
+    def version(self) -> int:
+        """Return the version in force; 0 for none."""
+        return self.current.version
+
+    def offer(self, value: bytes, *, source: str) -> bool:
+        """Adopt a configuration if it is newer; tell whether it was.
+
+        A node that the store turns away hears of versions from its peers, and
+        may hear of an older one from a peer that was cut off: taking it would
+        bring back queues and keys that were removed.
+        """
+        if value == self.raw:
+            return False
+        fresh = decode_configuration(value)
+        if isinstance(fresh, MalformedBody):
+            logger.warning("configuration from %s left out: %s", source, fresh.reason)
+            return False
+        if fresh.version <= self.version:
+            return False
+        self.current, self.raw = fresh, value
+        self._index()
+        for listener in self.listeners:
+            listener()
+        return True
+
+    def _index(self) -> None:
+        self._by_host = {}
+        for queue in self.current.queues:
+            self._by_host.setdefault(queue.host, []).append(queue)
+        for queues in self._by_host.values():
+            queues.sort(key=lambda q: len(q.prefix), reverse=True)
+        self._by_key = {
+            key: organisation
+            for organisation in self.current.organisations
+            for key in organisation.keys
+        }
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of ``path`` at ``host``."""
+        name = host.rpartition(":")[0] if ":" in host else host
+        queues = self._by_host.get(name.lower(), [])
+        return next((q for q in queues if path.startswith(q.prefix)), None)
+
+    def find_organisation(self, authorization: str) -> Organisation | None:
+        """Return the organisation whose key came with a call."""
+        scheme, _, key = authorization.partition(" ")
+        if scheme.lower() != "bearer":
+            return None
+        return self._by_key.get(key.strip())
--- /dev/null
+++ b/src/firladder/_internal/node/daemon.py
@@ -0,0 +1,407 @@
+"""The process of an entry VM: intake, membership, and now and then leadership."""
+
+import asyncio
+import logging
+import os
+import random
+import signal
+from collections import Counter
+
+from ..charts.interpreter import ChartInstance, load_chart
+from ..exceptions import NotLeader, SettingError
+from ..models.message import (
+    AnnounceCancel,
+    AnnounceJob,
+    AnyBody,
+    AskJob,
+    AskPending,
+    JobReply,
+    PendingReply,
+    Received,
+    Refused,
+    StoreOutcome,
+    StoreRecord,
+)
+from ..network.fabric import Fabric
+from ..network.http_client import HttpClient
+from ..network.http_server import (
+    HttpCall,
+    HttpReply,
+    HttpServer,
+    RouteTable,
+    reply_json,
+)
+from ..platform.configuration import CONFIGURATION_KEY, CONFIGURATION_PREFIX
+from ..platform.settings import NodeSettings, read_node_settings
+from ..platform.store import Change, Item, Listing, PlatformStore
+from ..platform.workers import WorkerCalls
+from ..utils.clocks import LogicalClock, SystemClock
+from ..utils.events import Event, Timeline
+from ..utils.tasks import TaskSet
+from ..utils.tokens import mint_incarnation
+from .configuration import ConfigurationStore
+from .election import Campaign, Leadership, decode_leader
+from .fleet import Fleet
+from .intake import Intake
+from .keys import LEADER
+from .metrics import NodeMetrics
+from .records import Records
+from .term import Term
+from .watching import PrefixWatch
+
+logger = logging.getLogger(__name__)
+
+ANNOUNCE_TIMEOUT_S = 0.3
+"""Seconds for the leader to take an announcement; its watch is the backstop."""
+
+UNREADY_S = 2.6
+"""Seconds between saying 'not ready' and closing the listener at a stop: the
+balancer asks once a second and believes the second refusal."""
+
+LAST_CALLS_S = 1.5
+"""Seconds for the calls that are open when the listener closes."""
+
+SETTINGS_LOOK_S = 1.0
+"""Seconds between looks at the settings file, which may change unannounced."""
+
+CAMPAIGN_PAUSE_S = 0.25
+"""Seconds between two tries to become leader while nobody leads."""
+
+
+class Node:
+    """The daemon: its parts, and how they hear of each other."""
+
+    def __init__(self, settings_path: str) -> None:
+        """Read the settings and build all parts; nothing listens yet."""
+        self.settings_path = settings_path
+        self.settings: NodeSettings = read_node_settings(settings_path)
+        self.rng = random.Random()
+        self.clock = SystemClock()
+        self.incarnation = mint_incarnation()
+        self.logical = LogicalClock()
+        self.timeline = Timeline(
+            process=self.settings.vm,
+            clock=self.clock,
+            logical=self.logical,
+            domain=self.settings.failure_domain,
+            capacity=512,
+        )
+        self.life = ChartInstance(load_chart("process"))
+        self.leaving = False
+        self.draining = False
+        self.term: Term | None = None
+        self.metrics = NodeMetrics()
+        self.calls: Counter[tuple[str, int]] = Counter()
+        self._tasks = TaskSet()
+        self._stopping = asyncio.Event()
+        self._leader_gone = asyncio.Event()
+        self._worker_http = HttpClient(per_host=4)
+        self.store = PlatformStore(
+            address=self.settings.store_address, http=HttpClient(per_host=16)
+        )
+        self.store.on_state = self._note_store
+        self.fabric = Fabric(
+            address=f"{self.settings.ip}:{self.settings.peer_port}",
+            sender=f"{self.settings.vm}/{self.incarnation}",
+            logical=self.logical,
+        )
+        self.configuration = ConfigurationStore()
+        self.configuration.listeners.append(self._note_configuration)
+        self.fleet = Fleet(
+            ip=self.settings.ip,
+            port=self.settings.peer_port,
+            seeds=self.settings.peers,
+            fabric=self.fabric,
+            configuration=self.configuration,
+            clock=self.clock,
+            rng=self.rng,
+        )
+        self.fleet.on_leader.append(self._note_leader)
+        self.records = Records(store=self.store, fleet=self.fleet, clock=self.clock)
+        self.intake = Intake(self, self.records)
+        self._front = HttpServer(self, self.intake)
+        self._ready = HttpServer(self, READY)
+        self._metrics = HttpServer(self, METRICS)
+        self._register_messages()
+
+    async def run(self) -> None:
+        """Serve until told to stop, then leave gracefully."""
+        self._obey_signals()
+        self.timeline.record(
+            Event.NODE_STARTED,
+            incarnation=self.incarnation,
+            ip=self.settings.ip,
+            store=self.settings.store_address,
+        )
+        self.fabric.start()
+        self._metrics.listen(self.settings.metrics_address)
+        self._ready.listen(self.settings.ready_address)
+        self._front.listen(self.settings.clients_address)
+        self.fleet.start()
+        self._watch(
+            CONFIGURATION_PREFIX, self._list_configuration, self._change_operator
+        )
+        self._watch(LEADER, self._list_leader, self._change_leader)
+        self._tasks.spawn(self._lead_forever(), name="lead")
+        self._tasks.spawn(self._watch_settings(), name="settings")
+        self.life.fire("ready")
+        await self._stopping.wait()
+        await self._leave()
+
+    async def _leave(self) -> None:
+        self.leaving = True
+        self.life.fire("drain")
+        self.timeline.record(Event.NODE_STOPPING, leads=self.term is not None)
+        if self.term is not None:
+            await self.term.close()
+        await asyncio.sleep(UNREADY_S)
+        self.draining = True
+        await self._front.stop_listening()
+        await asyncio.sleep(LAST_CALLS_S)
+        self.life.fire("stop")
+        self.timeline.record(Event.NODE_STOPPED)
+        await self._tasks.close()
+        await self.fleet.close()
+        await self._front.close()
+        await self._ready.close()
+        await self._metrics.close()
+        await self.fabric.close()
+
+    def _obey_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+
+    # -- settings ---------------------------------------------------------------
+
+    async def _watch_settings(self) -> None:
+        seen = _stat_settings(self.settings_path)
+        while True:
+            await asyncio.sleep(SETTINGS_LOOK_S)
+            found = _stat_settings(self.settings_path)
+            if found != seen:
+                seen = found
+                self._reload_settings()
+
+    def _reload_settings(self) -> None:
+        try:
+            fresh = read_node_settings(self.settings_path)
+        except SettingError as error:
+            # A file that is half written or wrong must not end a process that
+            # serves: it goes on with what it had.
+            self.timeline.record(Event.SETTINGS_REFUSED, reason=str(error))
+            return
+        self.settings = fresh
+        self.store.address = fresh.store_address
+        self.timeline.record(Event.SETTINGS_RELOADED, store=fresh.store_address)
+
+    # -- what the store says ------------------------------------------------------
+
+    def _watch(self, prefix: str, on_listing: object, on_change: object) -> None:
+        watch = PrefixWatch(
+            store=self.store,
+            prefix=prefix,
+            on_listing=on_listing,  # type: ignore[arg-type]
+            on_change=on_change,  # type: ignore[arg-type]
+            rng=self.rng,
+        )
+        self._tasks.spawn(watch.run(), name=f"watch-{prefix}")
+
+    def _list_configuration(self, listing: Listing) -> None:
+        for item in listing.items:
+            self._take_operator_item(item.key, item.value)
+
+    def _change_operator(self, change: Change) -> None:
+        if change.value is not None:
+            self._take_operator_item(change.key, change.value)
+
+    def _take_operator_item(self, key: str, value: bytes) -> None:
+        if key != CONFIGURATION_KEY:
+            return
+        if self.configuration.offer(value, source="store"):
+            self.fleet.spread_configuration()
+
+    def _note_configuration(self) -> None:
+        self.timeline.record(Event.QUEUES_ADOPTED, version=self.configuration.version)
+        if self.term is not None:
+            self.term.adopt_configuration(self.configuration.current)
+
+    def _note_store(self, reachable: bool, reason: str) -> None:
+        event = Event.STORE_FOUND if reachable else Event.STORE_LOST
+        self.timeline.record(event, reason=reason)
+
+    def _list_leader(self, listing: Listing) -> None:
+        held = [item for item in listing.items if item.key == LEADER]
+        if not held:
+            self._lose_leader()
+        for item in held:
+            self._take_leader(item.value, item.revision)
+
+    def _change_leader(self, change: Change) -> None:
+        if change.key != LEADER:
+            return
+        if change.value is None:
+            self._lose_leader()
+        else:
+            self._take_leader(change.value, change.revision)
+
+    def _take_leader(self, value: bytes, revision: int) -> None:
+        record = decode_leader(value)
+        if record is not None:
+            self._leader_gone.clear()
+            self.fleet.note_leader(record.ip, revision)
+
+    def _lose_leader(self) -> None:
+        if self.term is None:
+            self.fleet.forget_leader(self.fleet.leader_token)
+        self._leader_gone.set()
+
+    def _note_leader(self) -> None:
+        self.timeline.record(
+            Event.LEADER_KNOWN, ip=self.fleet.leader_ip, token=self.fleet.leader_token
+        )
+        term = self.term
+        if term is not None and self.fleet.leader_token > term.leadership.token:
+            term.step_down("another node leads")
+
+    # -- leading --------------------------------------------------------------------
+
+    async def _lead_forever(self) -> None:
+        campaign = Campaign(
+            store=self.store,
+            ip=self.settings.ip,
+            incarnation=self.incarnation,
+            clock=self.clock,
+            rng=self.rng,
+        )
+        while not self.leaving:
+            await self._leader_gone.wait()
+            if self.leaving:
+                return
+            won = await campaign.try_once()
+            if isinstance(won, Leadership):
+                await self._serve_term(won)
+            elif isinstance(won, Item):
+                self._take_leader(won.value, won.revision)
+            await asyncio.sleep(CAMPAIGN_PAUSE_S)
+
+    async def _serve_term(self, leadership: Leadership) -> None:
+        term = Term(
+            store=self.store,
+            calls=WorkerCalls(http=self._worker_http, token=leadership.token),
+            leadership=leadership,
+            settings=self.settings,
+            clock=self.clock,
+            rng=self.rng,
+            timeline=self.timeline,
+        )
+        self.term = term
+        self.timeline.record(Event.TERM_BEGUN, token=leadership.token)
+        self.fleet.note_leader(self.settings.ip, leadership.token)
+        term.adopt_configuration(self.configuration.current)
+        reason = await term.run()
+        self.term = None
+        self.fleet.forget_leader(leadership.token)
+        self.timeline.record(Event.TERM_ENDED, token=leadership.token, reason=reason)
+
+    def announce(self, body: AnyBody) -> None:
+        """Tell the leader in the background."""
+        self._tasks.spawn(self.announce_now(body), name="announce")
+
+    async def announce_now(self, body: AnyBody) -> None:
+        """Tell the leader; if that fails, it hears of it by its own watch."""
+        if self.term is not None and self.term.ready:
+            self._take_announcement(self.term, body)
+            return
+        await self.fleet.ask_leader(body, timeout_s=ANNOUNCE_TIMEOUT_S)
+
+    def _take_announcement(self, term: Term, body: AnyBody) -> None:
+        if isinstance(body, AnnounceJob):
+            term.add_record(body.record)
+        elif isinstance(body, AnnounceCancel):
+            term.core.cancel_job(body.job_id)
+            term.note_change()
+
+    # -- what peers ask ---------------------------------------------------------------
+
+    def _register_messages(self) -> None:
+        self.fabric.handle(AnnounceJob, self._answer_announcement)
+        self.fabric.handle(AnnounceCancel, self._answer_announcement)
+        self.fabric.handle(AskJob, self._answer_job)
+        self.fabric.handle(AskPending, self._answer_pending)
+        self.fabric.handle(StoreRecord, self._answer_store)
+
+    def _refuse(self) -> Refused:
+        return Refused(failure=NotLeader(reason="this node does not lead"))
+
+    async def _answer_announcement(self, message: AnyBody) -> AnyBody:
+        if self.term is None or not self.term.ready:
+            return self._refuse()
+        self._take_announcement(self.term, message)
+        return Received()
+
+    async def _answer_job(self, message: AskJob) -> AnyBody:
+        if self.term is None or not self.term.ready:
+            return self._refuse()
+        state = self.term.core.read_state(message.job_id)
+        return JobReply(state=state.value if state is not None else "")
+
+    async def _answer_pending(self, message: AskPending) -> AnyBody:
+        if self.term is None or not self.term.ready:
+            return self._refuse()
+        return PendingReply(count=self.term.core.count_pending(message.queue))
+
+    async def _answer_store(self, message: StoreRecord) -> AnyBody:
+        outcome = await self.records.create_here(
+            message.key, message.value, timeout_s=0.4
+        )
+        return StoreOutcome(outcome=outcome)
+
+    # -- what operators see ------------------------------------------------------------
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether new connections shall come here."""
+        return bool(self.configuration.version) and not self.leaving
+
+    def note_call(self, method: str, status: int, spent_s: float) -> None:
+        """Count an answered call."""
+        self.calls[method, status] += 1
+        self.metrics.observe(method, status, spent_s)
+
+
+def _stat_settings(path: str) -> tuple[float, int]:
+    try:
+        found = os.stat(path)
+    except OSError as error:
+        logger.warning("settings file cannot be looked at: %s", error)
+        return 0.0, 0
+    return found.st_mtime, found.st_size
+
+
+READY = RouteTable()
+METRICS = RouteTable()
+
+
+@READY.route("GET", "/-/ready")
+async def tell_ready(node: Node, call: HttpCall) -> HttpReply:
+    """Tell the balancer whether to send new connections here."""
+    ready = node.ready
+    return reply_json({"ready": ready}, status=200 if ready else 503)
+
+
+@METRICS.route("GET", "/metrics")
+async def show_metrics(node: Node, call: HttpCall) -> HttpReply:
+    """Return all metrics as text."""
+    node.metrics.collect(node)
+    content, content_type = node.metrics.render()
+    return HttpReply(200, content, content_type)
+
+
+@METRICS.route("GET", "/events")
+async def list_events(node: Node, call: HttpCall) -> HttpReply:
+    """Return this process's part of the time line."""
+    after = call.query.get("after", "0")
+    events = node.timeline.list_events(after=int(after) if after.isdigit() else 0)
+    return reply_json({"events": events})
--- /dev/null
+++ b/src/firladder/_internal/node/intake.py
@@ -0,0 +1,243 @@
+"""Answer clients: submit, state, cancel, and the length of a queue."""
+
+import logging
+import re
+from typing import TYPE_CHECKING, Any
+
+from ..engine.progress import encode_accepted
+from ..engine.state import TERMINAL, JobState
+from ..exceptions import (
+    Draining,
+    Failure,
+    InvalidValue,
+    MethodNotAllowed,
+    NotFound,
+    NotReady,
+    OutcomeUnknown,
+    UnknownKey,
+)
+from ..models.message import (
+    AnnounceCancel,
+    AnnounceJob,
+    AskJob,
+    AskPending,
+    JobReply,
+    PendingReply,
+)
+from ..models.workload import AcceptedJob, Organisation, Queue
+from ..network.http_server import (
+    Handler,
+    HttpCall,
+    HttpReply,
+    reply_failure,
+    reply_json,
+)
+from ..platform.submissions import decode_submission
+from ..utils.events import Event
+from .keys import CANCELS, JOBS
+from .records import Records, Stored
+
+if TYPE_CHECKING:
+    from .daemon import Node
+
+logger = logging.getLogger(__name__)
+
+JOB_ID = re.compile(r"[0-9a-f]{16}\Z")
+
+DEFAULT_DEADLINE_S = 2.5
+"""Seconds that a caller is taken to wait if it does not say."""
+
+ANSWER_MARGIN_S = 0.2
+"""Seconds before a caller's deadline at which it gets its answer at the latest:
+the way to the caller, and this process being busy."""
+
+LEADER_TIMEOUT_S = 0.25
+"""Seconds for the leader's answer; it answers from memory."""
+
+MOST_CACHED = 5000
+"""Outcomes remembered here; they never change, and clients ask again."""
+
+RETRY_AFTER_S = 1.0
+"""Seconds after which callers shall come back to a node that cannot serve now."""
+
+
+class Intake:
+    """Handlers of clients' calls; state that must last is in the store."""
+
+    def __init__(self, node: "Node", records: Records) -> None:
+        """Answer for ``node``."""
+        self._node = node
+        self._records = records
+        self._outcomes: dict[str, JobState] = {}
+        self.counts: dict[tuple[str, int], int] = {}
+
+    def find(self, method: str, path: str) -> tuple[Handler, dict[str, str]] | Failure:
+        """Return the handler of every client call."""
+        if method not in ("GET", "POST", "DELETE"):
+            return MethodNotAllowed(reason="use GET, POST or DELETE", field="method")
+        return _answer_call, {}
+
+    async def answer(self, call: HttpCall) -> HttpReply:
+        """Answer a call and count it."""
+        began = self._node.clock.read_monotonic()
+        reply = await self._answer(call, began)
+        spent = self._node.clock.read_monotonic() - began
+        self._node.note_call(call.method, reply.status, spent)
+        return reply
+
+    async def _answer(self, call: HttpCall, began: float) -> HttpReply:
+        configuration = self._node.configuration
+        if not configuration.version:
+            return reply_failure(
+                NotReady(
+                    reason="no configuration is known yet", retry_after_s=RETRY_AFTER_S
+                )
+            )
+        queue = configuration.find_queue(call.headers.get("host", ""), call.path)
+        if queue is None:
+            return reply_failure(NotFound(reason="no such queue", field="path"))
+        organisation = Organisation("")
+        if not queue.public:
+            known = configuration.find_organisation(
+                call.headers.get("authorization", "")
+            )
+            if known is None:
+                return reply_failure(UnknownKey(reason="no organisation has this key"))
+            organisation = known
+        job_id = call.path[len(queue.prefix) :]
+        if not job_id and call.method == "GET":
+            return await self._count_pending(queue)
+        if not JOB_ID.match(job_id):
+            return reply_failure(
+                InvalidValue(reason="must be 16 hexadecimal digits", field="id")
+            )
+        until = began + _read_deadline(call) - ANSWER_MARGIN_S
+        if call.method == "POST":
+            return await self._submit(call, queue, organisation, job_id, until)
+        if call.method == "DELETE":
+            return await self._cancel(job_id, until)
+        return await self._show(job_id)
+
+    async def _submit(
+        self,
+        call: HttpCall,
+        queue: Queue,
+        organisation: Organisation,
+        job_id: str,
+        until: float,
+    ) -> HttpReply:
+        workload = decode_submission(call.body)
+        if isinstance(workload, Failure):
+            return reply_failure(workload)
+        if self._node.leaving:
+            return reply_failure(
+                Draining(reason="this node stops", retry_after_s=RETRY_AFTER_S)
+            )
+        accepted = AcceptedJob(
+            job_id,
+            queue.name,
+            organisation.name,
+            queue.pool,
+            queue.priority,
+            queue.max_attempts,
+            queue.stretch,
+            queue.slo_s,
+            self._node.clock.read_wall(),
+            workload,
+        )
+        record = encode_accepted(accepted)
+        result = await self._records.create(JOBS + job_id, record, until=until)
+        self._node.timeline.record(
+            Event.SUBMISSION_ANSWERED,
+            job=job_id,
+            queue=queue.name,
+            organisation=organisation.name,
+            configuration=self._node.configuration.version,
+            outcome=type(result).__name__,
+        )
+        if not isinstance(result, Stored):
+            return reply_failure(result)
+        if result.fresh:
+            self._node.announce(AnnounceJob(record=record))
+        return reply_json({})
+
+    async def _cancel(self, job_id: str, until: float) -> HttpReply:
+        found = await self._ask_state(job_id)
+        if isinstance(found, Failure):
+            return reply_failure(found)
+        result = await self._records.create(CANCELS + job_id, b"1", until=until)
+        self._node.timeline.record(
+            Event.CANCELLATION_ANSWERED, job=job_id, outcome=type(result).__name__
+        )
+        if not isinstance(result, Stored):
+            return reply_failure(result)
+        await self._node.announce_now(AnnounceCancel(job_id=job_id))
+        return reply_json({})
+
+    async def _show(self, job_id: str) -> HttpReply:
+        state = await self._ask_state(job_id)
+        if isinstance(state, Failure):
+            return reply_failure(state)
+        return reply_json({"state": state.value})
+
+    async def _ask_state(self, job_id: str) -> JobState | Failure:
+        known = self._outcomes.get(job_id)
+        if known is not None:
+            return known
+        state = await self._ask_leader(job_id)
+        if state is None:
+            found = await self._records.read_state(job_id)
+            if isinstance(found, Failure):
+                self._node.timeline.record(
+                    Event.STATE_NOT_KNOWN,
+                    job=job_id,
+                    leader=self._node.fleet.leader_ip,
+                    outcome=type(found).__name__,
+                    reason=found.reason,
+                )
+                return found
+            state = found
+        if state in TERMINAL:
+            if len(self._outcomes) >= MOST_CACHED:
+                self._outcomes.clear()
+            self._outcomes[job_id] = state
+        return state
+
+    async def _ask_leader(self, job_id: str) -> JobState | None:
+        term = self._node.term
+        if term is not None and term.ready:
+            return term.core.read_state(job_id)
+        reply = await self._node.fleet.ask_leader(
+            AskJob(job_id=job_id), timeout_s=LEADER_TIMEOUT_S
+        )
+        if isinstance(reply, JobReply) and reply.state:
+            return JobState(reply.state)
+        return None
+
+    async def _count_pending(self, queue: Queue) -> HttpReply:
+        term = self._node.term
+        if term is not None and term.ready:
+            return reply_json({"pending": term.core.count_pending(queue.name)})
+        reply = await self._node.fleet.ask_leader(
+            AskPending(queue=queue.name), timeout_s=2 * LEADER_TIMEOUT_S
+        )
+        if isinstance(reply, PendingReply):
+            return reply_json({"pending": reply.count})
+        return reply_failure(
+            OutcomeUnknown(
+                reason="no leader answers at the moment", retry_after_s=RETRY_AFTER_S
+            )
+        )
+
+
+def _read_deadline(call: HttpCall) -> float:
+    raw = call.headers.get("x-deadline-ms", "")
+    try:
+        return float(raw) / 1000 if raw else DEFAULT_DEADLINE_S
+    except ValueError:
+        return DEFAULT_DEADLINE_S
+
+
+async def _answer_call(app: Any, call: HttpCall) -> HttpReply:
+    intake: Intake = app.intake
+    return await intake.answer(call)
--- /dev/null
+++ b/src/firladder/_internal/node/journal.py
@@ -0,0 +1,121 @@
+"""Make the leader's decisions durable, many jobs a transaction."""
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Callable
+
+from ..engine.core import Core
+from ..engine.progress import encode_progress
+from ..engine.state import TERMINAL, Job
+from ..exceptions import LeaseEnded, NotLeader, StoreUnavailable, StoreUncertain
+from ..platform.store import MAX_ENTRIES, Conflict, PlatformStore, Write
+from ..utils.clocks import Clock
+from .keys import LEADER, PROGRESS
+
+logger = logging.getLogger(__name__)
+
+JOBS_A_WRITE = (MAX_ENTRIES - 1) // 2
+"""Jobs of one transaction: each takes a comparison and a write, the leader's own
+key one comparison."""
+
+RETRY_S = 0.1
+"""Seconds until a write that the store turned away is tried again."""
+
+GATHER_S = 0.002
+"""Seconds for which changes are gathered: ends come in groups, and each write is
+a priced call that takes the store 4 ms."""
+
+
+class Journal:
+    """Writes each changed job's progress under the leader's own key.
+
+    A write whose answer was lost may be carried out seconds later. Each write
+    therefore compares the revision of the record that it replaces: the late one
+    then finds it changed and has no effect.
+    """
+
+    def __init__(
+        self,
+        *,
+        core: Core,
+        store: PlatformStore,
+        token: int,
+        revisions: dict[str, int],
+        clock: Clock,
+        on_durable: Callable[[], None],
+    ) -> None:
+        """Write under the leader key of revision ``token``."""
+        self._core = core
+        self._store = store
+        self._token = token
+        self._revisions = revisions
+        self._clock = clock
+        self._on_durable = on_durable
+        self._wake = asyncio.Event()
+        self.writes = 0
+
+    def wake(self) -> None:
+        """Write what has changed, soon."""
+        if self._core.dirty:
+            self._wake.set()
+
+    async def run(self) -> NotLeader:
+        """Write until another leads; return that failure."""
+        while True:
+            await self._wake.wait()
+            await asyncio.sleep(GATHER_S)
+            self._wake.clear()
+            while self._core.dirty:
+                failure = await self._write_some()
+                if isinstance(failure, NotLeader):
+                    return failure
+                if failure is not None:
+                    await asyncio.sleep(RETRY_S)
+
+    async def _write_some(
+        self,
+    ) -> NotLeader | StoreUnavailable | StoreUncertain | None:
+        jobs = dict(itertools.islice(self._core.dirty.items(), JOBS_A_WRITE))
+        versions = {job_id: job.version for job_id, job in jobs.items()}
+        expected = [(LEADER, self._token)]
+        expected += [(PROGRESS + i, self._revisions.get(i, 0)) for i in jobs]
+        self.writes += 1
+        result = await self._store.commit(
+            expected=expected,
+            writes=[Write(PROGRESS + i, self._encode(j)) for i, j in jobs.items()],
+        )
+        if isinstance(result, int):
+            for job_id, version in versions.items():
+                self._revisions[job_id] = result
+                self._core.mark_durable(job_id, version)
+            self._on_durable()
+            return None
+        if isinstance(result, Conflict):
+            return self._read_conflict(result, list(jobs))
+        if isinstance(result, LeaseEnded):
+            return NotLeader(reason=result.reason)
+        return result
+
+    def _encode(self, job: Job) -> bytes:
+        if job.state in TERMINAL and not job.ended_at:
+            job.ended_at = self._clock.read_wall()
+        addresses = {
+            worker_id: worker.entry.address
+            for worker_id, worker in self._core.workers.items()
+        }
+        return encode_progress(job, addresses)
+
+    def _read_conflict(
+        self, conflict: Conflict, job_ids: list[str]
+    ) -> NotLeader | None:
+        leader = conflict.find(LEADER)
+        if leader is None or leader.revision != self._token:
+            return NotLeader(reason="the leader's key is another's, or gone")
+        # Only this leader writes progress while the key is its own, so a record
+        # that changed was changed by a write of ours whose answer was lost.
+        for job_id in job_ids:
+            item = conflict.find(PROGRESS + job_id)
+            self._revisions[job_id] = item.revision if item is not None else 0
+        logger.info("late write found", extra={"jobs": len(job_ids)})
+        return None
--- /dev/null
+++ b/src/firladder/_internal/node/metrics.py
@@ -0,0 +1,88 @@
+"""Counters and latency histograms of a node."""
+
+import resource
+from typing import TYPE_CHECKING
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+if TYPE_CHECKING:
+    from .daemon import Node
+
+BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5]
+
+
+class NodeMetrics:
+    """Metrics of one node; units are in the names."""
+
+    def __init__(self) -> None:
+        """Register all metrics in a registry of this process's own."""
+        self.registry = Registry()
+        self.calls = Counter(
+            "firladder_client_calls_total",
+            "Clients' calls answered, by method and status",
+            registry=self.registry,
+        )
+        self.latency = Histogram(
+            "firladder_client_latency_seconds",
+            "Time from a client's whole call to its answer, by method",
+            buckets=BUCKETS_S,
+            registry=self.registry,
+        )
+        self.version = self._gauge(
+            "firladder_queues_version", "Version of the configuration in force"
+        )
+        self.peers = self._gauge("firladder_nodes_known_count", "Other nodes known")
+        self.leading = self._gauge(
+            "firladder_leading_token", "Fencing token while this node leads, else 0"
+        )
+        self.jobs = self._gauge(
+            "firladder_jobs_open_count", "Jobs that have not ended, at the leader"
+        )
+        self.workers = self._gauge(
+            "firladder_workers_known_count",
+            "Workers at the leader, by whether they can be reached",
+        )
+        self.store = self._gauge(
+            "firladder_store_made_calls_total", "Calls made to the platform's store"
+        )
+        self.looks = self._gauge(
+            "firladder_worker_calls_total", "Calls made to workers in this term"
+        )
+        self.memory = self._gauge(
+            "firladder_node_resident_peak_bytes", "Largest resident memory so far"
+        )
+        self.processor = self._gauge(
+            "firladder_node_processor_seconds_total", "Processor time used so far"
+        )
+
+    def observe(self, method: str, status: int, spent_s: float) -> None:
+        """Count one answered call."""
+        self.calls.inc({"method": method, "status": str(status)})
+        self.latency.observe({"method": method}, spent_s)
+
+    def collect(self, node: "Node") -> None:
+        """Refresh what is read when it is asked for."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        self.memory.set({}, usage.ru_maxrss * 1024)
+        self.processor.set({}, usage.ru_utime + usage.ru_stime)
+        self.version.set({}, node.configuration.version)
+        self.peers.set({}, len(node.fleet.list_peers()))
+        self.store.set({}, node.store.calls)
+        term = node.term
+        self.leading.set({}, term.leadership.token if term is not None else 0)
+        if term is None:
+            return
+        open_jobs = [j for j in term.core.jobs.values() if not j.terminal]
+        self.jobs.set({}, len(open_jobs))
+        self.looks.set({}, term.calls.calls)
+        for reachable in (True, False):
+            found = [w for w in term.core.workers.values() if w.reachable is reachable]
+            self.workers.set({"reachable": str(reachable).lower()}, len(found))
+
+    def render(self) -> tuple[bytes, str]:
+        """Return all metrics in the Prometheus text format, and its type."""
+        content, headers = render(self.registry, ["text/plain"])
+        return content, headers.get("Content-Type", "text/plain")
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(name, text, registry=self.registry)
--- /dev/null
+++ b/src/firladder/_internal/node/records.py
@@ -0,0 +1,161 @@
+"""Store what callers hand in, and read back what became of it."""
+
+import asyncio
+import dataclasses
+import logging
+from typing import Literal
+
+from ..engine.progress import decode_progress
+from ..engine.state import JobState
+from ..exceptions import (
+    JobGone,
+    MalformedBody,
+    NotFound,
+    OutcomeUnknown,
+    StoreUnavailable,
+)
+from ..models.message import StoreOutcome, StoreRecord
+from ..platform.store import Conflict, Item, PlatformStore, Write
+from ..utils.clocks import Clock
+from .fleet import Fleet
+from .keys import CANCELS, JOBS, PROGRESS
+
+logger = logging.getLogger(__name__)
+
+Outcome = Literal["stored", "exists", "not_stored", "unknown"]
+
+TRY_PAUSE_S = 0.06
+"""Seconds between two tries to store a record."""
+
+REFUSE_AFTER_S = 0.7
+"""Seconds of definite failures after which a caller is told to come back. Longer
+waits help nobody: the store is either back within a retry, or away for seconds."""
+
+RELAY_TIMEOUT_S = 0.5
+"""Seconds for a peer to store a record for this node."""
+
+RETRY_AFTER_S = 1.0
+"""Seconds after which callers shall come back while the store is away."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored:
+    """The record is stored; ``fresh`` tells whether it was not there before."""
+
+    fresh: bool
+
+
+class Records:
+    """The intake's side of the store, directly or through a peer.
+
+    Creating a record that may exist already is idempotent, so that every try
+    without an answer can be repeated until one says where the record stands.
+    """
+
+    def __init__(self, *, store: PlatformStore, fleet: Fleet, clock: Clock) -> None:
+        """Store through ``store``; ask ``fleet`` where it turns this node away."""
+        self._store = store
+        self._fleet = fleet
+        self._clock = clock
+
+    async def create(
+        self, key: str, value: bytes, *, until: float
+    ) -> Stored | StoreUnavailable | OutcomeUnknown:
+        """Create a record unless there is one, by ``until`` (monotonic seconds).
+
+        ``StoreUnavailable`` says that it is not stored and never will be by
+        this call; ``OutcomeUnknown`` that it may be.
+        """
+        refuse_at = min(until, self._clock.read_monotonic() + REFUSE_AFTER_S)
+        uncertain = False
+        relay = False
+        while True:
+            now = self._clock.read_monotonic()
+            if now >= (until if uncertain else refuse_at):
+                break
+            outcome = await self._try(key, value, relay=relay, left_s=until - now)
+            if outcome in ("stored", "exists"):
+                return Stored(fresh=outcome == "stored")
+            uncertain = uncertain or outcome == "unknown"
+            relay = not relay
+            await asyncio.sleep(TRY_PAUSE_S)
+        if uncertain:
+            return OutcomeUnknown(reason="the store did not tell in time")
+        return StoreUnavailable(
+            reason="the store takes no writes at the moment",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+    async def _try(
+        self, key: str, value: bytes, *, relay: bool, left_s: float
+    ) -> Outcome:
+        if not relay:
+            return await self.create_here(key, value, timeout_s=min(0.8, left_s))
+        helper = self._choose_helper()
+        if helper is None:
+            return "not_stored"
+        reply = await self._fleet.ask(
+            helper,
+            StoreRecord(key=key, value=value),
+            timeout_s=min(RELAY_TIMEOUT_S, left_s),
+        )
+        return reply.outcome if isinstance(reply, StoreOutcome) else "unknown"
+
+    def _choose_helper(self) -> str | None:
+        if self._fleet.leader_ip and not self._fleet.leads:
+            return self._fleet.leader_ip
+        return next(iter(self._fleet.list_peers()), None)
+
+    async def create_here(self, key: str, value: bytes, *, timeout_s: float) -> Outcome:
+        """Create a record through this node's own path to the store."""
+        result = await self._store.commit(
+            expected=[(key, 0)],
+            writes=[Write(key, value)],
+            timeout_s=max(0.05, timeout_s),
+        )
+        if isinstance(result, int):
+            return "stored"
+        if isinstance(result, Conflict):
+            return "exists"
+        return "not_stored" if isinstance(result, StoreUnavailable) else "unknown"
+
+    async def read_state(
+        self, job_id: str
+    ) -> JobState | JobGone | StoreUnavailable | OutcomeUnknown:
+        """Return a job's state as the store has it."""
+        accepted, cancelled, progress = await asyncio.gather(
+            self._store.read_item(JOBS + job_id),
+            self._store.read_item(CANCELS + job_id),
+            self._store.read_item(PROGRESS + job_id),
+        )
+        for found in (accepted, cancelled, progress):
+            if not isinstance(found, Item | NotFound):
+                return OutcomeUnknown(reason=found.reason)
+        if isinstance(accepted, NotFound):
+            return JobGone(reason="no such job")
+        state = _read_progress(progress) if isinstance(progress, Item) else None
+        if state is not None and state is not JobState.RUNNING:
+            return state
+        if isinstance(cancelled, Item):
+            return JobState.CANCELLED
+        return state or JobState.QUEUED
+
+    async def exists(self, job_id: str) -> bool | OutcomeUnknown:
+        """Tell whether a job was accepted."""
+        found = await self._store.read_item(JOBS + job_id)
+        if isinstance(found, Item):
+            return True
+        if isinstance(found, NotFound):
+            return False
+        return OutcomeUnknown(reason=found.reason)
+
+
+def _read_progress(item: Item) -> JobState | None:
+    progress = decode_progress(item.value)
+    if isinstance(progress, MalformedBody):
+        logger.error("progress %s cannot be read: %s", item.key, progress.reason)
+        return None
+    state = JobState(progress.state)
+    if state is JobState.QUEUED and progress.units:
+        return JobState.RUNNING
+    return state
--- /dev/null
+++ b/src/firladder/_internal/node/term.py
@@ -0,0 +1,350 @@
+"""One term of leadership: the scheduling core with its sockets around it."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from ..engine.core import Core
+from ..engine.leases import BLIND_S, estimate_inherited_lapse
+from ..engine.planning import Planner
+from ..engine.progress import (
+    JobProgress,
+    decode_accepted,
+    decode_progress,
+)
+from ..engine.state import Worker
+from ..exceptions import Failure, MalformedBody, NotLeader
+from ..models.workload import QueueConfiguration
+from ..platform.discovery import WORKER_PREFIX, decode_worker
+from ..platform.settings import NodeSettings
+from ..platform.store import Change, Listing, PlatformStore
+from ..platform.workers import WorkerCalls
+from ..utils.clocks import Clock
+from ..utils.events import Event, Timeline
+from ..utils.tasks import TaskSet
+from .attendant import Attendant
+from .election import Leadership
+from .journal import Journal
+from .keys import CANCELS, INTAKE, JOBS, PROGRESS
+from .watching import PrefixWatch
+
+logger = logging.getLogger(__name__)
+
+TICK_S = 0.25
+"""Seconds between two looks at the clock: lapses, stalls, repeated stops."""
+
+PASS_DELAY_S = 0.004
+"""Seconds for which events are gathered before a pass; the tasks of a gang end
+within a few milliseconds of each other."""
+
+CLEAN_S = 15.0
+"""Seconds between two searches for jobs to forget."""
+
+KEPT_SLACK_S = 30.0
+"""Seconds that an ended job is kept beyond what callers are promised."""
+
+
+class Term:
+    """Everything that a leader does from its election to its end."""
+
+    def __init__(
+        self,
+        *,
+        store: PlatformStore,
+        calls: WorkerCalls,
+        leadership: Leadership,
+        settings: NodeSettings,
+        clock: Clock,
+        rng: random.Random,
+        timeline: Timeline,
+    ) -> None:
+        """Lead under ``leadership``; nothing is read or sent yet."""
+        self.core = Core(hold_s=settings.max_hold_s, note=self._note)
+        self.calls = calls
+        self.clock = clock
+        self.leadership = leadership
+        self._store = store
+        self._settings = settings
+        self._rng = rng
+        self._timeline = timeline
+        self._tasks = TaskSet()
+        self._planner = Planner(
+            self.core, early_s=settings.early_s, reclaim_s=settings.reclaim_s
+        )
+        self._revisions: dict[str, int] = {}
+        self._attendants: dict[str, Attendant] = {}
+        self._ended: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        self._change = asyncio.Event()
+        self._known_entries: dict[str, int] = {}
+        self.ready = False
+        self.passes = 0
+        self._journal = Journal(
+            core=self.core,
+            store=store,
+            token=leadership.token,
+            revisions=self._revisions,
+            clock=clock,
+            on_durable=self._note_durable,
+        )
+
+    @property
+    def may_renew(self) -> bool:
+        """Tell whether leases at workers may still be renewed.
+
+        Without the store a leader goes on for a while: the outage is likely the
+        store's own. A successor reckons with just that while.
+        """
+        return self.clock.read_monotonic() < self.leadership.proved_until + BLIND_S
+
+    def step_down(self, reason: str) -> None:
+        """End the term; safe to call again."""
+        if not self._ended.done():
+            self._ended.set_result(reason)
+
+    def note_change(self) -> None:
+        """Plan and write what an event has changed, soon."""
+        self._change.set()
+
+    def adopt_configuration(self, configuration: QueueConfiguration) -> None:
+        """Schedule by a new configuration from now on."""
+        self.core.configuration = configuration
+        self.note_change()
+
+    async def run(self) -> str:
+        """Lead until the term ends; return why it did."""
+        keep = self._tasks.spawn(self.leadership.keep(), name="renew-leadership")
+        keep.add_done_callback(lambda _: self.step_down("the lease has ended"))
+        try:
+            if await self._load():
+                self._start_loops()
+            return await self._ended
+        finally:
+            self.ready = False
+            await self._tasks.close()
+
+    async def close(self) -> None:
+        """End the term and give the leadership back."""
+        self.step_down("this process stops")
+        await self.leadership.resign()
+
+    def _start_loops(self) -> None:
+        self.ready = True
+        journal = self._tasks.spawn(self._journal.run(), name="journal")
+        journal.add_done_callback(self._read_journal_end)
+        self._tasks.spawn(self._plan_forever(), name="plan")
+        self._tasks.spawn(self._tick_forever(), name="tick")
+        self._tasks.spawn(self._clean_forever(), name="clean")
+
+    def _read_journal_end(self, task: "asyncio.Task[NotLeader]") -> None:
+        if not task.cancelled() and task.exception() is None:
+            self.step_down(task.result().reason)
+
+    # -- reading what the store holds ----------------------------------------
+
+    async def _load(self) -> bool:
+        intake = await self._read(INTAKE)
+        progress = await self._read(PROGRESS)
+        workers = await self._read(WORKER_PREFIX)
+        if intake is None or progress is None or workers is None:
+            return False
+        self._take_workers(workers)
+        recorded: dict[str, JobProgress] = {}
+        for item in progress.items:
+            job_id = item.key.removeprefix(PROGRESS)
+            self._revisions[job_id] = item.revision
+            found = decode_progress(item.value)
+            if isinstance(found, MalformedBody):
+                logger.error("progress of %s cannot be read: %s", job_id, found.reason)
+                continue
+            recorded[job_id] = found
+        for item in intake.items:
+            self._take_intake(item.key, item.value, recorded)
+        lapse = estimate_inherited_lapse(
+            now=self.clock.read_monotonic(), hold_s=self.core.hold_s
+        )
+        for worker in self.core.workers.values():
+            if worker.placements:
+                worker.granted_until = lapse
+            self._attend(worker)
+        self._timeline.record(
+            Event.TERM_LOADED,
+            token=self.leadership.token,
+            jobs=len(self.core.jobs),
+            workers=len(self.core.workers),
+        )
+        self._follow(INTAKE, intake, self._relist_intake, self._change_intake)
+        self._follow(WORKER_PREFIX, workers, self._take_workers, self._change_worker)
+        return True
+
+    async def _read(self, prefix: str) -> Listing | None:
+        while not self._ended.done():
+            listing = await self._store.read_range(prefix)
+            if isinstance(listing, Listing):
+                return listing
+            await asyncio.sleep(0.1)
+        return None
+
+    def _follow(
+        self,
+        prefix: str,
+        start: Listing,
+        on_listing: Callable[[Listing], None],
+        on_change: Callable[[Change], None],
+    ) -> None:
+        watch = PrefixWatch(
+            store=self._store,
+            prefix=prefix,
+            on_listing=on_listing,
+            on_change=on_change,
+            rng=self._rng,
+            start=start,
+        )
+        self._tasks.spawn(watch.run(), name=f"watch-{prefix}")
+
+    def _relist_intake(self, listing: Listing) -> None:
+        for item in listing.items:
+            self._take_intake(item.key, item.value, {})
+        self.note_change()
+
+    def _change_intake(self, change: Change) -> None:
+        if change.value is not None:
+            self._take_intake(change.key, change.value, {})
+            self.note_change()
+
+    def _take_intake(
+        self, key: str, value: bytes, recorded: dict[str, JobProgress]
+    ) -> None:
+        if key.startswith(CANCELS):
+            self.core.cancel_job(key.removeprefix(CANCELS))
+            return
+        if not key.startswith(JOBS):
+            return
+        job_id = key.removeprefix(JOBS)
+        if job_id not in self.core.jobs:
+            self.add_record(value, recorded.get(job_id))
+
+    def add_record(self, value: bytes, progress: JobProgress | None = None) -> None:
+        """Take a stored job into the schedule."""
+        accepted = decode_accepted(value)
+        if isinstance(accepted, MalformedBody):
+            logger.warning("stored job left out: %s", accepted.reason)
+            return
+        self.core.add_job(accepted, progress)
+        self.note_change()
+
+    def _take_workers(self, listing: Listing) -> None:
+        listed = {item.key for item in listing.items}
+        for worker in list(self.core.workers.values()):
+            if worker.listed and WORKER_PREFIX + worker.worker_id not in listed:
+                self.core.unlist_worker(worker.worker_id)
+        for item in listing.items:
+            self._take_worker(item.key, item.value, item.revision)
+        self.note_change()
+
+    def _change_worker(self, change: Change) -> None:
+        if change.value is None:
+            self._known_entries.pop(change.key, None)
+            self.core.unlist_worker(change.key.removeprefix(WORKER_PREFIX))
+        else:
+            self._take_worker(change.key, change.value, change.revision)
+        self.note_change()
+
+    def _take_worker(self, key: str, value: bytes, revision: int) -> None:
+        if self._known_entries.get(key) == revision:
+            return
+        self._known_entries[key] = revision
+        entry = decode_worker(key, value)
+        if isinstance(entry, MalformedBody):
+            self._timeline.record(
+                Event.ENTRY_LEFT_OUT, key=key, revision=revision, reason=entry.reason
+            )
+            return
+        if entry.draining:
+            self._timeline.record(
+                Event.WORKER_DRAINING,
+                worker=entry.worker_id,
+                leaves_in_s=entry.leaves_in_s,
+            )
+        worker = self.core.see_worker(entry)
+        if self.ready:
+            self._attend(worker)
+
+    def _attend(self, worker: Worker) -> None:
+        if worker.worker_id in self._attendants or not worker.entry.address:
+            return
+        attendant = self._attendants[worker.worker_id] = Attendant(self, worker)
+        self._tasks.spawn(
+            self._watch_worker(worker, attendant), name=f"watch-{worker.worker_id}"
+        )
+        self._tasks.spawn(attendant.carry_orders(), name=f"orders-{worker.worker_id}")
+
+    async def _watch_worker(self, worker: Worker, attendant: Attendant) -> None:
+        await attendant.watch()
+        if self._attendants.get(worker.worker_id) is attendant:
+            del self._attendants[worker.worker_id]
+
+    # -- deciding and ordering ------------------------------------------------
+
+    async def _plan_forever(self) -> None:
+        while True:
+            await self._change.wait()
+            await asyncio.sleep(PASS_DELAY_S)
+            self._change.clear()
+            self._plan_once()
+
+    def _plan_once(self) -> None:
+        now = self.clock.read_monotonic()
+        self.passes += 1
+        self._planner.run_pass(now=now, wall=self.clock.read_wall())
+        self._journal.wake()
+        self._send_orders(now)
+
+    def _send_orders(self, now: float) -> None:
+        for placement in self.core.take_starts():
+            attendant = self._attendants.get(placement.worker_id)
+            if attendant is not None:
+                attendant.order(placement, start=True)
+        for placement in self.core.take_stops(now):
+            attendant = self._attendants.get(placement.worker_id)
+            if attendant is not None:
+                attendant.order(placement, start=False)
+
+    def _note_durable(self) -> None:
+        self._send_orders(self.clock.read_monotonic())
+        for attendant in self._attendants.values():
+            attendant.wake()
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self.clock.read_monotonic()
+            self.core.check_lapses(now)
+            self.core.give_up_stalled(now)
+            for attendant in list(self._attendants.values()):
+                attendant.wake()
+            self._plan_once()
+
+    async def _clean_forever(self) -> None:
+        while True:
+            await asyncio.sleep(CLEAN_S)
+            await self._clean()
+
+    async def _clean(self) -> None:
+        before = self.clock.read_wall() - self._settings.kept_s - KEPT_SLACK_S
+        old = [
+            job_id
+            for job_id, job in self.core.jobs.items()
+            if job.terminal and 0 < job.ended_at < before and job.durable >= job.version
+        ]
+        for job_id in old[:8]:
+            keys = [JOBS + job_id, CANCELS + job_id, PROGRESS + job_id]
+            result = await self._store.commit(expected=[], remove=keys)
+            if isinstance(result, Failure):
+                logger.info("old job not removed: %s", result.reason)
+                return
+            self.core.forget_job(job_id)
+            self._revisions.pop(job_id, None)
+
+    def _note(self, what: str, **inputs: object) -> None:
+        self._timeline.record(Event.CORE_DECIDED, what=what, **inputs)
--- /dev/null
+++ b/src/firladder/_internal/node/watching.py
@@ -0,0 +1,80 @@
+"""Follow a prefix of the store through cuts, lost history and silence."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from ..exceptions import HistoryLost
+from ..platform.store import Change, Changes, Listing, PlatformStore
+
+logger = logging.getLogger(__name__)
+
+WAIT_S = 4.0
+"""Seconds that one watch waits. A connection that has fallen silent is noticed
+when they are over; each wait is one priced call, so shorter ones cost more."""
+
+RETRY_S = 0.15
+"""Seconds until a failed call is made again; it doubles up to ``MOST_RETRY_S``."""
+
+MOST_RETRY_S = 0.6
+
+
+class PrefixWatch:
+    """Reports the items of a prefix once as a whole, then each change."""
+
+    def __init__(
+        self,
+        *,
+        store: PlatformStore,
+        prefix: str,
+        on_listing: Callable[[Listing], None],
+        on_change: Callable[[Change], None],
+        rng: random.Random,
+        wait_s: float = WAIT_S,
+        start: Listing | None = None,
+    ) -> None:
+        """Follow ``prefix``, going on from ``start`` if it was read already."""
+        self._store = store
+        self._prefix = prefix
+        self._on_listing = on_listing
+        self._on_change = on_change
+        self._rng = rng
+        self._wait_s = wait_s
+        self._revision = start.revision if start is not None else None
+
+    async def run(self) -> None:
+        """Follow the prefix until cancelled."""
+        pause_s = RETRY_S
+        while True:
+            if await self._step():
+                pause_s = RETRY_S
+                continue
+            await asyncio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
+            pause_s = min(pause_s * 2, MOST_RETRY_S)
+
+    async def _step(self) -> bool:
+        if self._revision is None:
+            return await self._list()
+        found = await self._store.watch(
+            self._prefix, after=self._revision, wait_s=self._wait_s
+        )
+        if isinstance(found, HistoryLost):
+            # What happened in between is lost: only a new listing shows it.
+            logger.info("history of %s is gone, listing again", self._prefix)
+            self._revision = None
+            return True
+        if not isinstance(found, Changes):
+            return False
+        self._revision = found.revision
+        for change in found.changes:
+            self._on_change(change)
+        return True
+
+    async def _list(self) -> bool:
+        listing = await self._store.read_range(self._prefix)
+        if not isinstance(listing, Listing):
+            return False
+        self._revision = listing.revision
+        self._on_listing(listing)
+        return True
--- a/src/firladder/_internal/platform/__init__.py
+++ b/src/firladder/_internal/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the outside systems, one narrow interface each."""
+"""The users' platform: its names, formats and calls. Nothing here decides."""
--- /dev/null
+++ b/src/firladder/_internal/platform/discovery.py
@@ -0,0 +1,53 @@
+"""Decode the entries under which workers register themselves."""
+
+import msgspec
+
+from ..exceptions import MalformedBody
+from ..models.workload import Resources, WorkerEntry
+from ..utils.codec import decode_json
+
+WORKER_PREFIX = "servers/"
+
+_READY = "ready"
+_DRAINING = "draining"
+
+
+class _Capacity(msgspec.Struct):
+    cpu: int
+    mem_mb: int
+    gpu: int = 0
+
+
+class _Beat(msgspec.Struct):
+    # The pool's name; `backend` names no single host here.
+    backend: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Capacity
+    labels: list[str] = []
+    # Only while draining: the least time until the worker is gone.
+    remaining_ms: float | None = None
+
+
+def decode_worker(key: str, value: bytes) -> WorkerEntry | MalformedBody:
+    """Return a worker's entry, or why it names no usable worker."""
+    wire = decode_json(value, _Beat)
+    if isinstance(wire, MalformedBody):
+        return wire
+    if wire.state not in (_READY, _DRAINING):
+        return MalformedBody(reason=f"unknown state {wire.state!r}", field="state")
+    host, _, port = wire.address.rpartition(":")
+    if not host or not port.isdigit():
+        return MalformedBody(reason="must be ip:port", field="address")
+    left = wire.remaining_ms
+    return WorkerEntry(
+        worker_id=key.removeprefix(WORKER_PREFIX),
+        address=wire.address,
+        pool=wire.backend,
+        failure_domain=wire.zone,
+        capacity=Resources(wire.capacity.cpu, wire.capacity.mem_mb, wire.capacity.gpu),
+        labels=frozenset(wire.labels),
+        draining=wire.state == _DRAINING,
+        leaves_in_s=None if left is None else left / 1000,
+    )
--- /dev/null
+++ b/src/firladder/_internal/platform/settings.py
@@ -0,0 +1,121 @@
+"""Read the settings file that the platform lays out for each process."""
+
+import dataclasses
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from ..exceptions import SettingError
+
+FILE_VARIABLE = "FIRLADDER_NODE_FILE"
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    ready: str
+    control: str = ""
+
+
+class _Bounds(msgspec.Struct, frozen=True):
+    contact_ms: float = 3000
+    drain_ms: float = 2000
+    grace_s: float = 6
+    config_apply_ms: float = 2000
+    max_hold_ms: float = 10000
+    stop_grace_ms: float = 200
+    gang_timeout_ms: float = 3000
+    cancel_ms: float = 3000
+    early_ms: float = 250
+    status_s: float = 120
+    far_factor: float = 3
+    restore_ms: float = 100
+    lease_ms: float = 3000
+    reclaim_ms: float = 2700
+
+
+class _Store(msgspec.Struct):
+    address: str
+    writes_per_s: float = 400
+    reads_per_s: float = 2000
+    min_ttl_ms: float = 1000
+
+
+class _File(msgspec.Struct):
+    node: str
+    ip: str
+    zone: str
+    port_range: tuple[int, int]
+    listen: _Listen
+    platform: _Store
+    seeds: list[str] = []
+    heartbeat_ms: float = 1500
+    bounds: _Bounds = _Bounds()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """The settings of an entry VM's process; times in seconds.
+
+    ``peers`` are IP numbers of VMs that may know the fleet; ``peer_port`` is
+    where processes of the fleet listen for each other.
+    """
+
+    vm: str
+    ip: str
+    failure_domain: str
+    clients_address: str
+    ready_address: str
+    metrics_address: str
+    peer_port: int
+    peers: tuple[str, ...]
+    store_address: str
+    lease_min_s: float
+    worker_beat_s: float
+    max_hold_s: float
+    stop_grace_s: float
+    drain_s: float
+    grace_s: float
+    early_s: float
+    kept_s: float
+    far_factor: float
+    restore_s: float
+    reclaim_s: float
+
+
+def read_node_settings(path: str) -> NodeSettings:
+    """Return the checked settings; unknown fields are ignored.
+
+    Raises ``SettingError`` with the field's name and what would be right.
+    """
+    try:
+        raw = tomllib.loads(Path(path).read_text())
+        wire = msgspec.convert(raw, _File, strict=False)
+    except OSError as error:
+        raise SettingError(setting=FILE_VARIABLE, reason=str(error)) from error
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise SettingError(setting=path, reason=str(error)) from error
+    bounds = wire.bounds
+    first_port = wire.port_range[0]
+    return NodeSettings(
+        vm=wire.node,
+        ip=wire.ip,
+        failure_domain=wire.zone,
+        clients_address=wire.listen.front,
+        ready_address=wire.listen.ready,
+        metrics_address=f"{wire.ip}:{first_port + 1}",
+        peer_port=first_port,
+        peers=tuple(seed.rpartition(":")[0] for seed in wire.seeds),
+        store_address=wire.platform.address,
+        lease_min_s=wire.platform.min_ttl_ms / 1000,
+        worker_beat_s=wire.heartbeat_ms / 1000,
+        max_hold_s=bounds.max_hold_ms / 1000,
+        stop_grace_s=bounds.stop_grace_ms / 1000,
+        drain_s=bounds.drain_ms / 1000,
+        grace_s=bounds.grace_s,
+        early_s=bounds.early_ms / 1000,
+        kept_s=bounds.status_s,
+        far_factor=bounds.far_factor,
+        restore_s=bounds.restore_ms / 1000,
+        reclaim_s=bounds.reclaim_ms / 1000,
+    )
--- a/src/firladder/_internal/platform/store.py
+++ b/src/firladder/_internal/platform/store.py
@@ -1,297 +1,321 @@
-"""Client of the platform's key-value service.
+"""The platform's key-value store: compare-and-swap, leases and watches."""
 
-The service speaks the JSON form of the etcd v3 interface (keys and values in
-base64, 64-bit numbers as strings). Every call returns its result or one of
-``StoreUnavailable`` (no effect), ``StoreUncertain`` (may have had effect) and
-``StoreConflict`` (a comparison failed: no effect).
-"""
-
-import asyncio
 import base64
-from collections.abc import AsyncIterator, Iterable
-from typing import Any
+import dataclasses
+import logging
+from collections.abc import Callable, Sequence
+from typing import TypeVar
+from urllib.parse import urlencode
 
 import msgspec
 
-from ..exceptions import NotSent, StoreConflict, StoreUnavailable, StoreUncertain
-from ..models.entry import (
-    Committed,
-    Compare,
-    Delete,
-    Entry,
-    Lease,
-    Put,
-    Snapshot,
+from ..exceptions import (
+    HistoryLost,
+    LeaseEnded,
+    NotFound,
+    NotSent,
+    SentUnanswered,
+    StoreConflict,
+    StoreUnavailable,
+    StoreUncertain,
 )
 from ..network.http_client import HttpAnswer, HttpClient
 from ..utils.codec import encode_json
 
-CALL_TIMEOUT_S = 2.0
-"""Seconds for one call; the store answers in milliseconds when it is well."""
+logger = logging.getLogger(__name__)
+
+CALL_TIMEOUT_S = 0.8
+"""Seconds for an answer; the store takes 4 ms, and 240 ms when it is slow."""
 
-WATCH_SILENCE_S = 2.5
-"""Seconds without an event or a progress note after which a watch is dead:
-two notes and the time of one on its way."""
+WATCH_SLACK_S = 0.6
+"""Seconds beyond a watch's own waiting time before its connection counts as
+silent; a slow store answers within 240 ms."""
 
-Lost = StoreUnavailable | StoreUncertain
+MAX_ENTRIES = 32
+"""Entries that one transaction may hold, comparisons included."""
 
+T = TypeVar("T")
 
-class KeyValue(msgspec.Struct):
-    """A key-value pair on the wire."""
 
-    key: str = ""
-    value: str = ""
-    mod_revision: str = "0"
-    lease: str = "0"
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """A stored value. ``revision`` is its last change; 0 says there is none."""
 
+    key: str
+    value: bytes
+    revision: int
 
-class Header(msgspec.Struct):
-    """The part of each answer that carries the store's revision."""
 
-    revision: str = "0"
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """Items of a prefix; changes after ``revision`` are not in it for sure."""
 
+    items: tuple[Item, ...]
+    revision: int
 
-class RangeAnswer(msgspec.Struct):
-    """Answer to a range call."""
 
-    header: Header
-    kvs: list[KeyValue] = []
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """A change to a key; ``value`` is None where the key was removed."""
 
+    key: str
+    value: bytes | None
+    revision: int
 
-class TxnAnswer(msgspec.Struct):
-    """Answer to a transaction."""
 
-    header: Header
-    succeeded: bool = False
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """What happened since; go on from ``revision``."""
 
+    changes: tuple[Change, ...]
+    revision: int
 
-class LeaseAnswer(msgspec.Struct):
-    """Answer to a grant."""
 
-    ID: str
-    TTL: str
+@dataclasses.dataclass(frozen=True, slots=True)
+class Write:
+    """A value to store; ``lease`` 0 keeps it for good."""
 
+    key: str
+    value: bytes
+    lease: int = 0
 
-class KeepAliveResult(msgspec.Struct):
-    """The inner part of a keep-alive answer; ``TTL`` 0 means expired."""
 
-    ID: str = "0"
-    TTL: str = "0"
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """A comparison did not hold, nothing was written; the compared items."""
 
+    items: tuple[Item, ...]
 
-class KeepAliveAnswer(msgspec.Struct):
-    """Answer to a keep-alive."""
+    def find(self, key: str) -> Item | None:
+        """Return the item that stands under a compared key, if there is one."""
+        return next((i for i in self.items if i.key == key and i.revision), None)
 
-    result: KeepAliveResult
 
+class _Item(msgspec.Struct):
+    key: str
+    value: str | None = None
+    revision: int = 0
+    tombstone: bool = False
 
-class WatchEvent(msgspec.Struct):
-    """One change in a watch answer."""
 
-    kv: KeyValue
-    type: str = "PUT"
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    at: int
+    has_more: bool = False
 
 
-class WatchResult(msgspec.Struct):
-    """The inner part of a watch answer."""
+class _Events(msgspec.Struct):
+    events: list[_Item]
+    at: int
 
-    header: Header
-    events: list[WatchEvent] = []
-    canceled: bool = False
 
+class _Lease(msgspec.Struct):
+    lease: int
+    ttl_ms: float
 
-class WatchAnswer(msgspec.Struct):
-    """One line of a watch stream."""
 
-    result: WatchResult
+class _Revision(msgspec.Struct):
+    revision: int
 
 
-def _to_base64(text: str | bytes) -> str:
-    raw = text.encode() if isinstance(text, str) else text
-    return base64.b64encode(raw).decode()
+class _Items(msgspec.Struct):
+    items: list[_Item] = []
 
 
-def _read_entry(kv: KeyValue, *, deleted: bool = False) -> Entry:
-    return Entry(
-        base64.b64decode(kv.key).decode(),
-        base64.b64decode(kv.value),
-        0 if deleted else int(kv.mod_revision),
-        int(kv.lease),
-    )
+def _decode_value(text: str | None) -> bytes:
+    try:
+        return base64.b64decode(text or "", validate=True)
+    except ValueError:
+        # Another writer's value need not be readable; it decodes to nothing
+        # and is left out where it is read.
+        return b""
 
 
-def end_of_prefix(prefix: str) -> str:
-    """Return the first key after all keys that begin with ``prefix``."""
-    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+def _convert(item: _Item) -> Item:
+    return Item(item.key, _decode_value(item.value), item.revision)
 
 
-class StoreClient:
-    """Calls to the store, from one process."""
+class PlatformStore:
+    """Calls to the store; each failure says whether the call may have effect."""
 
-    def __init__(self, *, url: str, http: HttpClient) -> None:
-        """Talk to the service at ``url`` (``http://ip:port``)."""
-        self._url = url.rstrip("/")
+    def __init__(self, *, address: str, http: HttpClient) -> None:
+        """Call the store at ``address`` (``ip:port``)."""
+        self.address = address
         self._http = http
         self.calls = 0
         self.reachable = True
+        self.on_state: Callable[[bool, str], None] = lambda reachable, reason: None
 
-    async def _call(
-        self, path: str, body: dict[str, Any], *, timeout_s: float = CALL_TIMEOUT_S
-    ) -> HttpAnswer | Lost:
-        self.calls += 1
-        answer = await self._http.call(
-            "POST", f"{self._url}{path}", body=encode_json(body), timeout_s=timeout_s
-        )
-        if isinstance(answer, HttpAnswer) and answer.status == 200:
-            self.reachable = True
+    async def read_item(
+        self, key: str
+    ) -> Item | NotFound | StoreUnavailable | StoreUncertain:
+        """Return the item under ``key``."""
+        answer = await self._call("GET", "/-/kv-key", {"key": key})
+        if not isinstance(answer, HttpAnswer):
             return answer
-        self.reachable = False
-        if isinstance(answer, HttpAnswer):
-            if answer.status == 503:
-                return StoreUnavailable(reason="the store refuses calls")
-            return StoreUncertain(reason=f"the store answered {answer.status}")
-        if isinstance(answer, NotSent):
-            return StoreUnavailable(reason=answer.reason)
-        return StoreUncertain(reason=answer.reason)
+        if answer.status == 404:
+            return NotFound(reason="no such key", field=key)
+        found = self._decode(answer, _Item)
+        return _convert(found) if isinstance(found, _Item) else found
+
+    async def read_range(
+        self, prefix: str
+    ) -> Listing | StoreUnavailable | StoreUncertain:
+        """Return all items under ``prefix``, page by page."""
+        items: list[Item] = []
+        revision: int | None = None
+        query = {"prefix": prefix}
+        while True:
+            answer = await self._call("GET", "/-/kv-range", query)
+            if not isinstance(answer, HttpAnswer):
+                return answer
+            page = self._decode(answer, _Range)
+            if not isinstance(page, _Range):
+                return page
+            items += map(_convert, page.items)
+            # Pages are no snapshot: whoever goes on from the first page's
+            # revision sees again what changed between the pages.
+            revision = page.at if revision is None else revision
+            if not page.has_more or not page.items:
+                return Listing(tuple(items), revision)
+            query["after"] = page.items[-1].key
 
-    async def range(self, prefix: str) -> Snapshot | Lost:
-        """Return all entries whose keys begin with ``prefix``."""
-        return await self._range(
-            {"key": _to_base64(prefix), "range_end": _to_base64(end_of_prefix(prefix))}
+    async def watch(
+        self, prefix: str, *, after: int, wait_s: float
+    ) -> Changes | HistoryLost | StoreUnavailable | StoreUncertain:
+        """Return the changes after a revision, waiting for the first."""
+        query = {
+            "prefix": prefix,
+            "after": str(after),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        answer = await self._call(
+            "GET", "/-/kv-watch", query, timeout_s=wait_s + WATCH_SLACK_S
         )
-
-    async def get(self, key: str) -> Entry | None | Lost:
-        """Return one entry, or None if there is no such key."""
-        found = await self._range({"key": _to_base64(key)})
-        if not isinstance(found, Snapshot):
-            return found
-        return found.entries[0] if found.entries else None
-
-    async def _range(self, body: dict[str, Any]) -> Snapshot | Lost:
-        answer = await self._call("/v3/kv/range", body)
         if not isinstance(answer, HttpAnswer):
             return answer
-        parsed = msgspec.json.decode(answer.body, type=RangeAnswer)
-        return Snapshot(
-            int(parsed.header.revision), tuple(_read_entry(kv) for kv in parsed.kvs)
+        if answer.status == 410:
+            return HistoryLost(reason=f"history after {after} is gone")
+        found = self._decode(answer, _Events)
+        if not isinstance(found, _Events):
+            return found
+        changes = (
+            Change(e.key, None if e.tombstone else _decode_value(e.value), e.revision)
+            for e in found.events
         )
+        return Changes(tuple(changes), max(found.at, after))
 
     async def commit(
         self,
-        compares: Iterable[Compare],
-        changes: Iterable[Put | Delete],
         *,
+        expected: Sequence[tuple[str, int]],
+        writes: Sequence[Write] = (),
+        remove: Sequence[str] = (),
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Committed | StoreConflict | Lost:
-        """Make all changes if all comparisons hold, else none."""
+    ) -> int | Conflict | LeaseEnded | StoreUnavailable | StoreUncertain:
+        """Write all or nothing if each key has the revision expected of it.
+
+        Return the new revision. After ``StoreUncertain`` the write may be there,
+        or may come seconds later if the comparison still holds then.
+        """
         body = {
-            "compare": [
+            "expected": [{"key": k, "revision": r} for k, r in expected],
+            "puts": [
                 {
-                    "key": _to_base64(c.key),
-                    "target": "MOD",
-                    "result": "EQUAL",
-                    "mod_revision": str(c.mod_revision),
+                    "key": w.key,
+                    "value": base64.b64encode(w.value).decode(),
+                    "lease": w.lease,
                 }
-                for c in compares
+                for w in writes
             ],
-            "success": [_encode_change(change) for change in changes],
+            "remove": list(remove),
         }
-        answer = await self._call("/v3/kv/txn", body, timeout_s=timeout_s)
+        answer = await self._call(
+            "POST", "/-/kv-txn", body=encode_json(body), timeout_s=timeout_s
+        )
         if not isinstance(answer, HttpAnswer):
             return answer
-        parsed = msgspec.json.decode(answer.body, type=TxnAnswer)
-        if not parsed.succeeded:
-            return StoreConflict(reason="a comparison did not hold")
-        return Committed(int(parsed.header.revision))
+        if answer.status == 404:
+            return LeaseEnded(reason="the lease of a written key has ended")
+        if answer.status == 412:
+            held = self._decode(answer, _Items)
+            if not isinstance(held, _Items):
+                return held
+            return Conflict(tuple(map(_convert, held.items)))
+        done = self._decode(answer, _Revision)
+        return done.revision if isinstance(done, _Revision) else done
 
     async def grant_lease(
-        self, ttl_s: int, *, timeout_s: float = CALL_TIMEOUT_S
-    ) -> Lease | Lost:
-        """Return a new lease of about ``ttl_s`` seconds."""
-        answer = await self._call(
-            "/v3/lease/grant", {"TTL": str(ttl_s)}, timeout_s=timeout_s
-        )
+        self, ttl_s: float
+    ) -> int | StoreUnavailable | StoreUncertain:
+        """Return a new lease that ends ``ttl_s`` after its last renewal."""
+        body = encode_json({"ttl_ms": int(ttl_s * 1000)})
+        answer = await self._call("POST", "/-/kv-lease", body=body)
         if not isinstance(answer, HttpAnswer):
             return answer
-        parsed = msgspec.json.decode(answer.body, type=LeaseAnswer)
-        return Lease(int(parsed.ID), float(parsed.TTL))
+        found = self._decode(answer, _Lease)
+        return found.lease if isinstance(found, _Lease) else found
 
     async def renew_lease(
-        self, lease: Lease, *, timeout_s: float
-    ) -> Lease | StoreConflict | Lost:
-        """Renew; a conflict means that the lease has expired."""
-        answer = await self._call(
-            "/v3/lease/keepalive", {"ID": str(lease.id)}, timeout_s=timeout_s
-        )
+        self, lease: int, *, timeout_s: float
+    ) -> None | LeaseEnded | StoreUnavailable | StoreUncertain:
+        """Renew a lease; None says it was done."""
+        answer = await self._call("POST", f"/-/kv-keep/{lease}", timeout_s=timeout_s)
         if not isinstance(answer, HttpAnswer):
             return answer
-        ttl_s = float(msgspec.json.decode(answer.body, type=KeepAliveAnswer).result.TTL)
-        if ttl_s <= 0:
-            return StoreConflict(reason="the lease has expired")
-        return Lease(lease.id, ttl_s)
+        if answer.status == 404:
+            return LeaseEnded(reason="the lease has ended")
+        if answer.status == 200:
+            return None
+        return StoreUncertain(reason=f"unexpected status {answer.status}")
+
+    async def end_lease(self, lease: int) -> StoreConflict | None:
+        """End a lease; its keys go at once. A failure leaves it to its time."""
+        answer = await self._call("DELETE", f"/-/kv-lease-end/{lease}")
+        if isinstance(answer, HttpAnswer) and answer.status in (200, 204, 404):
+            return None
+        return StoreConflict(reason=f"lease not ended: {answer}")
 
-    async def revoke_lease(self, lease: Lease) -> Lost | None:
-        """Give a lease up, with all keys bound to it."""
-        answer = await self._call("/v3/lease/revoke", {"ID": str(lease.id)})
-        return None if isinstance(answer, HttpAnswer) else answer
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        *,
+        body: bytes = b"",
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> HttpAnswer | StoreUnavailable | StoreUncertain:
+        self.calls += 1
+        url = f"http://{self.address}{path}"
+        if query:
+            url += "?" + urlencode(query)
+        answer = await self._http.call(method, url, body=body, timeout_s=timeout_s)
+        if isinstance(answer, NotSent):
+            return self._note_lost(StoreUnavailable(reason=answer.reason))
+        if isinstance(answer, SentUnanswered):
+            return self._note_lost(StoreUncertain(reason=answer.reason))
+        if answer.status in (429, 503):
+            # The store says that it did nothing.
+            return self._note_lost(
+                StoreUnavailable(reason=f"turned away: {answer.status}")
+            )
+        if not self.reachable:
+            self.reachable = True
+            self.on_state(True, "")
+        return answer
 
-    async def watch(
-        self, prefix: str, *, after: int
-    ) -> AsyncIterator[tuple[int, tuple[Entry, ...]]]:
-        """Yield the changes of each revision above ``after``, in order.
+    def _note_lost(self, failure: T) -> T:
+        if self.reachable:
+            self.reachable = False
+            self.on_state(False, getattr(failure, "reason", ""))
+        return failure
 
-        Ends when the stream breaks, falls silent or has lost its place; the
-        caller then reads the prefix again.
-        """
-        self.calls += 1
-        body = {
-            "create_request": {
-                "key": _to_base64(prefix),
-                "range_end": _to_base64(end_of_prefix(prefix)),
-                "start_revision": str(after + 1),
-                "progress_notify": True,
-            }
-        }
-        lines = self._http.stream(
-            "POST",
-            f"{self._url}/v3/watch",
-            body=encode_json(body),
-            timeout_s=CALL_TIMEOUT_S,
-        )
-        iterator = aiter(lines)
+    def _decode(self, answer: HttpAnswer, type_: type[T]) -> T | StoreUncertain:
+        if answer.status != 200:
+            logger.warning("store answered %d: %r", answer.status, answer.body[:200])
+            return StoreUncertain(reason=f"unexpected status {answer.status}")
         try:
-            while True:
-                line = await asyncio.wait_for(anext(iterator), WATCH_SILENCE_S)
-                if not line.strip():
-                    continue
-                result = msgspec.json.decode(line, type=WatchAnswer).result
-                if result.canceled:
-                    return
-                yield (
-                    int(result.header.revision),
-                    tuple(
-                        _read_entry(e.kv, deleted=e.type == "DELETE")
-                        for e in result.events
-                    ),
-                )
-        except TimeoutError:
-            # A cut that drops packets shows as silence, not as an error: the
-            # configuration would stand still here while others move on, and
-            # status would call the store reachable as long as nobody writes.
-            self.reachable = False
-        except StopAsyncIteration:
-            return
-        finally:
-            await lines.aclose()  # type: ignore[attr-defined]
-
-
-def _encode_change(change: Put | Delete) -> dict[str, Any]:
-    if isinstance(change, Delete):
-        return {"request_delete_range": {"key": _to_base64(change.key)}}
-    return {
-        "request_put": {
-            "key": _to_base64(change.key),
-            "value": _to_base64(change.value),
-            "lease": str(change.lease),
-        }
-    }
+            return msgspec.json.decode(answer.body, type=type_)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            logger.warning("store's answer cannot be read: %s", error)
+            return StoreUncertain(reason=f"unreadable answer: {error}")
--- /dev/null
+++ b/src/firladder/_internal/platform/submissions.py
@@ -0,0 +1,97 @@
+"""Decode the body of a client's job submission."""
+
+import msgspec
+
+from ..exceptions import InvalidValue, MalformedBody
+from ..models.workload import Resources, Step, Workload
+from ..utils.codec import decode_json
+
+MAX_PAYLOAD = 4000
+"""Bytes of the opaque text that a job may carry to its tasks."""
+
+MAX_TASKS = 10_000
+"""Tasks of one job over all occurrences; its record stays below a megabyte."""
+
+
+class _Step(msgspec.Struct):
+    # gpu counts whole accelerators; cpu is in thousandths of a core.
+    count: int = 0
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0
+    after: list[int] = []
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ""
+    # The rack that holds the data, not an affinity between tasks.
+    affinity: str = ""
+    max_per_server: int = 0
+    allow_duplicates: bool = False
+    long_running: bool = False
+    # The cpu of such a step is not counted against a worker's capacity.
+    fills: bool = False
+
+
+class _Submission(msgspec.Struct):
+    # spec is opaque text for the tasks; it specifies nothing to a scheduler.
+    spec: str = ""
+    steps: list[_Step] = []
+    # How often the steps run; 0 stands for once, at once.
+    times: int = 0
+    first_ms: float = 0
+    interval_ms: float = 0
+
+
+def decode_submission(body: bytes) -> Workload | MalformedBody | InvalidValue:
+    """Return the job of a submission, or why it is none."""
+    wire = decode_json(body, _Submission)
+    if isinstance(wire, MalformedBody):
+        return wire
+    problem = _find_problem(wire)
+    if problem is not None:
+        return problem
+    return Workload(
+        wire.spec,
+        tuple(map(_convert_step, wire.steps)),
+        wire.times,
+        wire.first_ms / 1000,
+        wire.interval_ms / 1000,
+    )
+
+
+def _find_problem(wire: _Submission) -> InvalidValue | None:
+    if len(wire.spec.encode()) > MAX_PAYLOAD:
+        return InvalidValue(reason=f"at most {MAX_PAYLOAD} bytes", field="spec")
+    if not wire.steps:
+        return InvalidValue(reason="at least one step", field="steps")
+    tasks = sum(s.count for s in wire.steps) * max(1, wire.times)
+    if not 0 < tasks <= MAX_TASKS:
+        return InvalidValue(reason=f"1 to {MAX_TASKS} tasks", field="steps")
+    for number, step in enumerate(wire.steps):
+        amounts = (step.count - 1, step.cpu, step.mem_mb, step.gpu, step.estimate_ms)
+        if min(amounts) < 0:
+            return InvalidValue(reason="a negative amount", field=f"steps[{number}]")
+        if not all(0 <= earlier < number for earlier in step.after):
+            return InvalidValue(
+                reason="must number earlier steps", field=f"steps[{number}].after"
+            )
+    return None
+
+
+def _convert_step(wire: _Step) -> Step:
+    return Step(
+        count=wire.count,
+        need=Resources(0 if wire.fills else wire.cpu, wire.mem_mb, wire.gpu),
+        estimate_s=wire.estimate_ms / 1000,
+        after=tuple(wire.after),
+        checkpoints=wire.checkpoints,
+        gang=wire.gang,
+        one_rack=wire.same_rack,
+        label=wire.required_label,
+        rack=wire.affinity,
+        most_per_worker=wire.max_per_server,
+        copies_allowed=wire.allow_duplicates,
+        lasting=wire.long_running,
+    )
--- a/src/firladder/_internal/platform/workers.py
+++ b/src/firladder/_internal/platform/workers.py
@@ -1,108 +1,216 @@
-"""Client of the workers' task interface (HTTP and JSON)."""
+"""Calls to workers: start, stop, and look at what runs."""
 
-from typing import TypeVar
+import logging
+from typing import Any, cast
 
 import msgspec
 
-from ..exceptions import FencedOff, NotSent, WorkerUnreachable
-from ..models.task import (
-    ClaimWorker,
-    RenewTasks,
-    ReserveTask,
-    StartTask,
-    StopTask,
-    TaskStatus,
+from ..exceptions import (
+    FencedOff,
+    NotSent,
+    OrderRejected,
+    SentUnanswered,
+    WorkerRefused,
+    WorkerReplaced,
+)
+from ..models.order import (
+    EndedTask,
+    Ending,
+    Rejection,
+    RunningTask,
+    StartOrder,
+    StopOrder,
+    TaskId,
     WorkerReport,
 )
 from ..network.http_client import HttpAnswer, HttpClient
 from ..utils.codec import encode_json
 
-T = TypeVar("T")
+logger = logging.getLogger(__name__)
+
+ORDER_TIMEOUT_S = 1.0
+"""Seconds for the answer to an order; workers answer within milliseconds."""
+
+MAX_WAIT_S = 2.0
+"""Seconds that a worker waits at most for an end before it answers a look."""
+
+_REJECTIONS: dict[str, Rejection] = {
+    "fence": "fenced",
+    "old": "superseded",
+    "late": "too_late",
+    "room": "no_room",
+    "ticket": "ticket",
+}
+
+CallFailure = (
+    FencedOff
+    | OrderRejected
+    | WorkerRefused
+    | WorkerReplaced
+    | NotSent
+    | SentUnanswered
+)
 
-CALL_TIMEOUT_S = 1.0
-"""Seconds for a command; a worker answers in milliseconds."""
 
-WorkerFailure = WorkerUnreachable | FencedOff
+class _Clock(msgspec.Struct):
+    clock_ms: float
+    reason: str = ""
 
 
-class WorkerClient:
-    """Commands to workers, each under the leader's epoch."""
+class _Look(msgspec.Struct):
+    clock_ms: float
+    # Rows: task, run, checkpoint, per cent, and a usage figure that may lack.
+    running: list[list[Any]] = []
+    # Rows: number, task, run, how it ended, checkpoint.
+    ended: list[list[Any]] = []
 
-    def __init__(self, *, http: HttpClient) -> None:
-        """Share one pool of connections among all workers."""
-        self._http = http
 
-    async def claim(self, address: str, epoch: int) -> WorkerReport | WorkerFailure:
-        """Fence lower epochs off, and return all tasks of the worker."""
-        return await self._post(address, "/claim", ClaimWorker(epoch), WorkerReport)
+def format_task(task: TaskId) -> str:
+    """Return a task's name on the wire."""
+    return f"{task.job_id}.{task.occurrence}.{task.step}.{task.index}"
 
-    async def reserve(
-        self, address: str, req: ReserveTask
-    ) -> TaskStatus | WorkerFailure:
-        """Hold accelerators for a task."""
-        return await self._post(address, "/tasks", req, TaskStatus)
 
-    async def start(
-        self, address: str, task: str, epoch: int
-    ) -> TaskStatus | WorkerFailure:
-        """Run a held task."""
-        return await self._post(
-            address, f"/tasks/{task}/start", StartTask(epoch), TaskStatus
-        )
+def parse_task(name: str) -> TaskId | None:
+    """Return the task of a name, or None for a name that is not ours."""
+    parts = name.split(".")
+    if len(parts) != 4 or not all(p.isdigit() for p in parts[1:]):
+        return None
+    return TaskId(parts[0], *map(int, parts[1:]))
 
-    async def stop(
-        self, address: str, task: str, req: StopTask
-    ) -> TaskStatus | WorkerFailure:
-        """End a task."""
-        return await self._post(address, f"/tasks/{task}/stop", req, TaskStatus)
-
-    async def checkpoint(
-        self, address: str, task: str, epoch: int
-    ) -> TaskStatus | WorkerFailure:
-        """Save a task's progress, so that its job can go on elsewhere."""
-        return await self._post(
-            address, f"/tasks/{task}/checkpoint", StartTask(epoch), TaskStatus
-        )
 
-    async def renew(
-        self, address: str, req: RenewTasks
-    ) -> WorkerReport | WorkerFailure:
-        """Renew the leases of all confirmed tasks of the worker."""
-        return await self._post(address, "/renew", req, WorkerReport)
+class WorkerCalls:
+    """Calls to workers under one fencing token."""
 
-    async def follow(
-        self, address: str, *, since: int, wait_s: float
-    ) -> WorkerReport | WorkerFailure:
-        """Return the tasks that changed after ``since``, waiting for a change."""
-        answer = await self._http.call(
-            "GET",
-            f"http://{address}/tasks?since={since}&wait_s={wait_s}",
-            timeout_s=wait_s + CALL_TIMEOUT_S,
-        )
-        return _read(answer, WorkerReport)
+    def __init__(self, *, http: HttpClient, token: int) -> None:
+        """Send every order with ``token``."""
+        self._http = http
+        self.token = token
+        self.calls = 0
 
-    async def _post(
-        self, address: str, path: str, req: msgspec.Struct, type_: type[T]
-    ) -> T | WorkerFailure:
+    async def start(
+        self, order: StartOrder, *, deadline_s: float
+    ) -> float | CallFailure:
+        """Begin a task; return the worker's clock in seconds.
+
+        ``deadline_s`` is the time on that clock until which all that runs on
+        the worker may go on.
+        """
+        body: dict[str, Any] = {
+            "task": format_task(order.task),
+            "run": order.run,
+            "spec": order.payload,
+            "deadline_ms": int(deadline_s * 1000),
+            "fencing_token": self.token,
+        }
+        if order.checkpoint:
+            body["checkpoint"] = order.checkpoint
+        return await self._order(order.worker_id, order.address, "/-/run-start", body)
+
+    async def stop(self, order: StopOrder) -> float | CallFailure:
+        """End a run; a run that is not there is rejected when it comes later."""
+        body = {
+            "task": format_task(order.task),
+            "run": order.run,
+            "fencing_token": self.token,
+        }
+        return await self._order(order.worker_id, order.address, "/-/run-stop", body)
+
+    async def look(
+        self,
+        worker_id: str,
+        address: str,
+        *,
+        last_seen: int,
+        deadline_s: float | None,
+        wait_s: float,
+        timeout_s: float,
+    ) -> WorkerReport | CallFailure:
+        """Report all runs and ends, waiting ``wait_s`` for an end.
+
+        Ends up to ``last_seen`` are forgotten by the worker. A ``deadline_s``
+        on the worker's clock lengthens the lease of all that runs there.
+        """
+        body: dict[str, Any] = {"fencing_token": self.token, "last_seen": last_seen}
+        if deadline_s is not None:
+            body["deadline_ms"] = int(deadline_s * 1000)
+        if wait_s:
+            body["wait_ms"] = int(min(wait_s, MAX_WAIT_S) * 1000)
+        answer = await self._call(worker_id, address, "/-/hold", body, timeout_s)
+        if not isinstance(answer, HttpAnswer):
+            return answer
+        try:
+            wire = msgspec.json.decode(answer.body, type=_Look)
+            return WorkerReport(
+                wire.clock_ms / 1000,
+                tuple(filter(None, map(_convert_running, wire.running))),
+                tuple(filter(None, map(_convert_ended, wire.ended))),
+            )
+        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+            logger.warning("worker %s: unreadable report: %s", worker_id, error)
+            return SentUnanswered(reason=f"unreadable report: {error}")
+
+    async def _order(
+        self, worker_id: str, address: str, path: str, body: dict[str, Any]
+    ) -> float | CallFailure:
+        answer = await self._call(worker_id, address, path, body, ORDER_TIMEOUT_S)
+        if not isinstance(answer, HttpAnswer):
+            return answer
+        try:
+            return msgspec.json.decode(answer.body, type=_Clock).clock_ms / 1000
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            logger.warning("worker %s: unreadable answer: %s", worker_id, error)
+            return SentUnanswered(reason=f"unreadable answer: {error}")
+
+    async def _call(
+        self,
+        worker_id: str,
+        address: str,
+        path: str,
+        body: dict[str, Any],
+        timeout_s: float,
+    ) -> HttpAnswer | CallFailure:
+        self.calls += 1
         answer = await self._http.call(
             "POST",
             f"http://{address}{path}",
-            body=encode_json(req),
-            timeout_s=CALL_TIMEOUT_S,
+            body=encode_json(body),
+            headers={"X-Target-Instance": worker_id},
+            timeout_s=timeout_s,
         )
-        return _read(answer, type_)
-
-
-def _read(answer: HttpAnswer | object, type_: type[T]) -> T | WorkerFailure:
-    if not isinstance(answer, HttpAnswer):
-        sent = not isinstance(answer, NotSent)
-        reason = getattr(answer, "reason", "")
-        return WorkerUnreachable(reason=reason, field="sent" if sent else None)
-    if answer.status == 409:
-        return FencedOff(reason="the worker obeys a higher epoch")
-    if answer.status != 200:
-        return WorkerUnreachable(reason=f"the worker answered {answer.status}")
+        if not isinstance(answer, HttpAnswer):
+            return answer
+        if answer.status == 200:
+            return answer
+        return _explain(answer)
+
+
+def _explain(answer: HttpAnswer) -> CallFailure:
+    if answer.status == 421:
+        return WorkerReplaced(reason="another incarnation answers at this address")
+    if answer.status in (429, 503):
+        return WorkerRefused(reason=f"turned away: {answer.status}")
     try:
-        return msgspec.json.decode(answer.body, type=type_)
-    except msgspec.DecodeError as error:
-        return WorkerUnreachable(reason=f"malformed answer: {error}")
+        reason = msgspec.json.decode(answer.body, type=_Clock).reason
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        reason = ""
+    why = _REJECTIONS.get(reason, "other")
+    if answer.status == 409 and why == "fenced":
+        return FencedOff(reason="a higher fencing token is known there")
+    if answer.status in (400, 404, 409):
+        return OrderRejected(reason=f"{answer.status} {reason}", rejection=why)
+    return SentUnanswered(reason=f"unexpected status {answer.status}")
+
+
+def _convert_running(row: list[Any]) -> RunningTask | None:
+    task = parse_task(str(row[0])) if len(row) >= 4 else None
+    if task is None:
+        return None
+    return RunningTask(task, int(row[1]), str(row[2] or ""), float(row[3]))
+
+
+def _convert_ended(row: list[Any]) -> EndedTask | None:
+    task = parse_task(str(row[1])) if len(row) >= 5 else None
+    if task is None:
+        return None
+    ending = cast(Ending, str(row[3]))
+    return EndedTask(int(row[0]), task, int(row[2]), ending, str(row[4] or ""))
--- a/src/firladder/_internal/scheduler/daemon.py
+++ b/src/firladder/_internal/scheduler/daemon.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..charts.interpreter import load_chart
+from ..etcd.workers import WorkerClient
 from ..exceptions import NotLeader, SettingError
 from ..fleet.metrics import FleetMetrics
 from ..fleet.operations import add_operations
@@ -15,7 +16,6 @@
 from ..models.message import AnyBody, FetchDomain, Heartbeat, Refused
 from ..network.http_client import HttpClient
 from ..network.http_server import HttpServer, RouteTable
-from ..platform.workers import WorkerClient
 from ..policies.catalogue import PLACEMENTS
 from ..policies.placement import PlacementPolicy
 from ..utils.events import Event
--- a/src/firladder/_internal/scheduler/domain.py
+++ b/src/firladder/_internal/scheduler/domain.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable
 
 from ..charts.interpreter import load_chart
+from ..etcd.workers import WorkerClient
 from ..exceptions import FencedOff
 from ..fleet.configuration import ConfigurationHolder
 from ..models.job import JobRecord
 from ..models.machine import Machine
 from ..models.message import DomainReply
 from ..models.task import ENDED, RenewTasks, StopTask, TaskStatus, WorkerReport
-from ..platform.workers import WorkerClient
 from ..policies.placement import (
     Action,
     Evict,
--- a/src/firladder/_internal/scheduler/gangs.py
+++ b/src/firladder/_internal/scheduler/gangs.py
@@ -12,11 +12,11 @@
 import msgspec
 
 from ..charts.interpreter import Chart, ChartInstance
+from ..etcd.workers import WorkerClient
 from ..exceptions import Failure, FencedOff, StoreConflict, WorkerUnreachable
 from ..models.job import JobRecord, Member
 from ..models.request import Outcome
 from ..models.task import ENDED, RenewTasks, ReserveTask, StopTask, TaskStatus
-from ..platform.workers import WorkerClient
 from ..utils.clocks import Clock
 from ..utils.events import Event, Timeline
 from .books import Books, GangState
--- a/src/firladder/_internal/scheduler/leadership.py
+++ b/src/firladder/_internal/scheduler/leadership.py
@@ -11,10 +11,10 @@
 import msgspec
 
 from ..charts.interpreter import Chart, ChartInstance
+from ..etcd.store import CALL_TIMEOUT_S, StoreClient
 from ..exceptions import StoreConflict, StoreUnavailable, StoreUncertain
 from ..models.entry import Committed, Compare, Lease, Put
 from ..models.message import Heartbeat, Identity
-from ..platform.store import CALL_TIMEOUT_S, StoreClient
 from ..utils.clocks import Clock
 from ..utils.codec import encode_json
 from ..utils.events import Event, Timeline
--- a/src/firladder/_internal/scheduler/ledger.py
+++ b/src/firladder/_internal/scheduler/ledger.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
+from ..etcd.store import StoreClient
 from ..exceptions import StoreConflict, StoreUnavailable, StoreUncertain
 from ..models.entry import Committed, Compare, Entry, Put
 from ..models.job import JobRecord
-from ..platform.store import StoreClient
 from ..utils.clocks import LogicalClock
 from ..utils.codec import encode_json
 from ..utils.tokens import mint_write_id
--- a/src/firladder/_internal/utils/events.py
+++ b/src/firladder/_internal/utils/events.py
@@ -56,6 +56,22 @@
     GANG_EVICTED = (424, "gang evicted")
     GUARANTEE_DEGRADED = (430, "guarantee degraded")
     GUARANTEE_RESTORED = (431, "guarantee restored")
+    NODE_STARTED = (500, "node started")
+    NODE_STOPPING = (501, "node stopping")
+    NODE_STOPPED = (502, "node stopped")
+    SETTINGS_RELOADED = (503, "settings reloaded")
+    SETTINGS_REFUSED = (504, "settings refused")
+    QUEUES_ADOPTED = (510, "queues and keys adopted")
+    LEADER_KNOWN = (511, "another leader known")
+    ENTRY_LEFT_OUT = (512, "entry of another writer left out")
+    SUBMISSION_ANSWERED = (520, "submission answered")
+    CANCELLATION_ANSWERED = (521, "cancellation answered")
+    STATE_NOT_KNOWN = (522, "state of a job not known")
+    TERM_BEGUN = (530, "term of leadership begun")
+    TERM_LOADED = (531, "jobs and workers loaded")
+    TERM_ENDED = (532, "term of leadership ended")
+    WORKER_DRAINING = (540, "worker drains")
+    CORE_DECIDED = (541, "scheduling decision")
 
     @property
     def number(self) -> int:
--- a/src/firladder/_internal/utils/logs.py
+++ b/src/firladder/_internal/utils/logs.py
@@ -5,6 +5,8 @@
 
 import structlog
 
+from .streams import BoundedStream
+
 _STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
 
 
@@ -17,8 +19,11 @@
     return event
 
 
-def configure_logs(*, process: str, level: str) -> None:
-    """Send the records of all module loggers to standard error as JSON."""
+def configure_logs(*, process: str, level: str, to_stdout: bool = False) -> None:
+    """Send the records of all module loggers to standard error as JSON.
+
+    With ``to_stdout`` they go to standard output, bounded and never blocking.
+    """
     structlog.contextvars.bind_contextvars(process=process)
     shared: list[structlog.typing.Processor] = [
         structlog.contextvars.merge_contextvars,
@@ -28,7 +33,8 @@
         structlog.processors.TimeStamper(fmt="iso", utc=True),
         structlog.processors.format_exc_info,
     ]
-    handler = logging.StreamHandler(sys.stderr)
+    stream = BoundedStream(sys.stdout.fileno()) if to_stdout else sys.stderr
+    handler: logging.Handler = logging.StreamHandler(stream)
     handler.setFormatter(
         structlog.stdlib.ProcessorFormatter(
             foreign_pre_chain=shared,
