Share the log level's setting with the node, and name it on the page

Cause: the check of the page found two settings of one name. Ruled out: a row for each, which would say the same thing twice.

--- a/src/firladder/_internal/commands/node.py
+++ b/src/firladder/_internal/commands/node.py
@@ -2,14 +2,15 @@
 
 from collections.abc import Mapping, Sequence
 
+from ..cli.daemon_settings import SHARED
 from ..cli.exits import EXIT_OK
 from ..utils.logs import configure_logs
-from ..utils.settings import Resolved, Setting, check_choice, check_text
+from ..utils.settings import Resolved, Setting, check_text
 from .registry import Command
 
 NODE = (
     Setting("node_file", check_text, "settings file that the platform lays out (TOML)"),
-    Setting("log_level", check_choice("DEBUG", "INFO", "WARNING"), "log level", "INFO"),
+    *(setting for setting in SHARED if setting.name == "log_level"),
 )
 
 
