Read a conflict's items, and prove the path with processes over stand-ins

Found by the new scenarios over the platform's stand-ins (store and workers of that dialect, nodes as processes).

Ruled out: the intake's retries, which were right to go on after an unknown.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,5 +1,6 @@
 """Start a site for the features that ask for one, and stop it after each."""
 
+from standins.platform_site import PlatformSite
 from standins.site import Layout, Site
 
 
@@ -12,7 +13,18 @@
     return site
 
 
+def start_platform(context, **sizes) -> PlatformSite:
+    """Start the platform's stand-ins and nodes for as long as the caller lives."""
+    site = PlatformSite(**sizes)
+    context.add_cleanup(site.stop)
+    context.platform = site
+    site.start()
+    return site
+
+
 def before_feature(context, feature):
     """Start one site for a whole feature tagged ``@site``."""
     if "site" in feature.tags:
         start_site(context)
+    if "platform" in feature.tags:
+        start_platform(context)
--- /dev/null
+++ b/features/steps/platform_path_steps.py
@@ -0,0 +1,452 @@
+import concurrent.futures
+import http.client
+import itertools
+import json
+import signal
+import subprocess
+import sys
+import time
+
+from behave import given, then, when
+
+from standins.platform_site import KEY
+from standins.site import ROOT, wait_for
+
+NUMBERS = itertools.count(int(time.time() * 1000))
+
+
+def make_id() -> str:
+    return f"{next(NUMBERS):016x}"
+
+
+def make_step(count=1, gpu=1, **fields):
+    return {"count": count, "cpu": 1000, "mem_mb": 512, "gpu": gpu, **fields}
+
+
+def submit(context, steps, *, takes_s=0.3, node=0, job_id=None, queue="q1"):
+    job_id = job_id or make_id()
+    body = {"spec": str(takes_s), "steps": steps}
+    began = time.monotonic()
+    status, answer = context.platform.ask("POST", f"/{queue}/{job_id}", body, node=node)
+    context.spent_s = time.monotonic() - began
+    context.job, context.status, context.answer = job_id, status, answer
+    return status
+
+
+def read_state(context, job_id, node=0):
+    status, answer = context.platform.ask("GET", f"/q1/{job_id}", node=node)
+    return answer["state"] if status == 200 else status
+
+
+def live_nodes(context):
+    site = context.platform
+    return [
+        n for n, c in enumerate(site.nodes[: len(site.ips)]) if c.process.poll() is None
+    ]
+
+
+@when("a client submits a job of 2 steps, the second after the first")
+def submit_steps(context):
+    assert submit(context, [make_step(2), make_step(3, after=[0])]) == 200
+
+
+@when("a client submits a gang of {count:d} tasks with {gpu:d} accelerators")
+def submit_gang(context, count, gpu):
+    assert submit(context, [make_step(count, gpu, gang=True)]) == 200
+
+
+@then('every node shows it as "{state}" within {seconds:d} s')
+def check_state(context, state, seconds):
+    for node in live_nodes(context):
+        wait_for(
+            lambda node=node: read_state(context, context.job, node) == state,
+            seconds,
+            f"{state} at node {node}",
+        )
+
+
+@then("each of its {count:d} tasks has run exactly once")
+def check_runs(context, count):
+    ledger = context.platform.read_ledger()
+    starts = [s for s in ledger["starts"] if s[0].startswith(context.job)]
+    assert len(starts) == count, starts
+    assert not ledger["problems"], ledger["problems"]
+
+
+@when("a client submits a job of 1 task of {takes:f} s twice at once and after its end")
+def submit_again(context, takes):
+    job_id = make_id()
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        tries = [
+            pool.submit(
+                submit, context, [make_step()], takes_s=takes, node=node, job_id=job_id
+            )
+            for node in (0, 1)
+        ]
+        context.statuses = [t.result() for t in tries]
+    wait_for(lambda: read_state(context, job_id) == "completed", 15, "completed")
+    context.statuses.append(submit(context, [make_step()], job_id=job_id, node=1))
+    time.sleep(1.0)
+
+
+@then("every submission is answered 200")
+def check_statuses(context):
+    assert set(context.statuses) == {200}, context.statuses
+
+
+@given("a client has submitted a job of {count:d} task of {takes:f} s that is at work")
+@given("a client has submitted a job of {count:d} tasks of {takes:f} s that is at work")
+def submit_at_work(context, count, takes):
+    assert submit(context, [make_step(count)], takes_s=takes) == 200
+    context.first = context.job
+    wait_for(lambda: find_running(context, context.job), 10, "at work")
+
+
+def find_running(context, job_id):
+    running = context.platform.read_ledger()["running"].values()
+    return [t for tasks in running for t in tasks if t.startswith(job_id)]
+
+
+@when("the client cancels it")
+def cancel(context):
+    status, _ = context.platform.ask("DELETE", f"/q1/{context.job}", node=1)
+    assert status == 200, status
+
+
+@then("nothing of it runs within {seconds:d} s")
+def check_not_running(context, seconds):
+    wait_for(lambda: not find_running(context, context.job), seconds, "stopped")
+
+
+@when("clients send what cannot be taken")
+def send_wrong(context):
+    context.before = len(context.platform.read_ledger()["starts"])
+    context.wrong = []
+    for row in context.table:
+        connection = http.client.HTTPConnection(
+            context.platform.ips[0], context.platform.front, timeout=5
+        )
+        key = KEY if row["key"] == "right" else "other"
+        headers = {"Host": "jobs.example", "Authorization": f"Bearer {key}"}
+        connection.request(
+            row["method"], row["path"], body=row["body"] or None, headers=headers
+        )
+        response = connection.getresponse()
+        raw = response.read()
+        kind = json.loads(raw).get("type") if raw else None
+        context.wrong.append((dict(row.items()), response.status, kind))
+        connection.close()
+
+
+@then("each is answered as listed, and nothing has started")
+def check_wrong(context):
+    for row, status, kind in context.wrong:
+        assert status == int(row["status"]), (row, status, kind)
+        assert kind, row
+    assert len(context.platform.read_ledger()["starts"]) == context.before
+
+
+@when("a client submits {count:d} jobs that fit nowhere")
+def submit_unfit(context, count):
+    for _ in range(count):
+        assert submit(context, [make_step(1, 64)], queue="q2") == 200
+
+
+@then("every node tells that {count:d} jobs of that queue wait")
+def check_pending(context, count):
+    for node in live_nodes(context):
+        wait_for(
+            lambda node=node: (
+                context.platform.ask("GET", "/q2/", node=node)
+                == (200, {"pending": count})
+            ),
+            5,
+            "pending",
+        )
+
+
+@when("unreadable entries are written beside all others")
+def write_unreadable(context):
+    site = context.platform
+    context.written = {
+        "servers/i-none": {"backend": "pool-a"},
+        "servers/i-types": {**json.loads("{}"), "address": 7, "state": "ready"},
+        "servers/i-bytes": "\x00\x01 no json",
+        "servers/i-state": {
+            "backend": "pool-a",
+            "address": "127.0.9.9:9",
+            "zone": "d",
+            "state": "asleep",
+            "capacity": {"cpu": 1, "mem_mb": 1, "gpu": 0},
+        },
+        "firladder/in/j/ffffffffffffffff": "no record",
+        "firladder/run/ffffffffffffffff": "no record",
+        "op/other": "no json",
+    }
+    for key, value in context.written.items():
+        site.put(key, value)
+
+
+@when("a client submits a job of 1 task of {takes:f} s")
+@when("a client submits another job of 1 task of {takes:f} s")
+def submit_one(context, takes):
+    submit(context, [make_step()], takes_s=takes, node=live_nodes(context)[0])
+
+
+@when("a client submits a job of 1 task of {takes:f} s at node {node:d}")
+def submit_at(context, takes, node):
+    assert submit(context, [make_step()], takes_s=takes, node=node) == 200
+
+
+@then("each entry was left out with a line in the log")
+def check_left_out(context):
+    logs = context.platform.read_logs()
+    for key in context.written:
+        if key.startswith("servers/"):
+            assert key in logs, key
+    assert "stored job left out" in logs
+
+
+@given("the store turns node {node:d} away")
+def turn_away(context, node):
+    context.platform.set_store_faults(turned_away=[context.platform.ips[node]])
+    context.add_cleanup(context.platform.set_store_faults)
+
+
+@when("the operators take the key away")
+def revoke(context):
+    site = context.platform
+    site.configuration["version"] += 1
+    site.configuration["tenants"][0]["api_keys"] = ["another"]
+    site.configure()
+
+    def restore():
+        site.configuration["version"] += 1
+        site.configuration["tenants"][0]["api_keys"] = [KEY]
+        site.configure()
+        for node in live_nodes(context):
+            wait_for(lambda n=node: read_state(context, "0" * 16, n) != 401, 10, "key")
+
+    context.add_cleanup(restore)
+
+
+@then("node {node:d} answers 401 within {seconds:d} s")
+def check_revoked(context, node, seconds):
+    wait_for(lambda: read_state(context, "0" * 16, node) == 401, seconds, "401")
+
+
+@given("the store answers nothing")
+def silence(context):
+    context.platform.set_store_faults(silent=True)
+    context.add_cleanup(heal, context)
+
+
+@given("the store turns everyone away")
+def make_busy(context):
+    context.platform.set_store_faults(busy=True)
+    context.add_cleanup(heal, context)
+
+
+@when("the store answers again")
+def heal(context):
+    context.platform.set_store_faults()
+    wait_for(lambda: context.platform.find_leader() is not None, 15, "a leader")
+
+
+@then("it is answered {status:d} before its deadline")
+def check_unknown(context, status):
+    assert context.status == status, (context.status, context.answer)
+    assert context.spent_s < 2.5, context.spent_s
+
+
+@then("the job exists, or never runs")
+def check_exists_or_not(context):
+    state = wait_for(lambda: read_state(context, context.job), 10, "state")
+    if state == 410:
+        check_never_runs(context)
+    else:
+        check_state(context, "completed", 15)
+
+
+@then("it is answered {status:d} within {seconds:d} s with when to come back")
+def check_refused(context, status, seconds):
+    assert context.status == status, (context.status, context.answer)
+    assert context.spent_s < seconds, context.spent_s
+    assert context.answer["retry_after_s"] >= 1, context.answer
+
+
+@then("the job does not exist and never runs")
+def check_never_runs(context):
+    time.sleep(1.5)
+    assert read_state(context, context.job) == 410
+    starts = context.platform.read_ledger()["starts"]
+    assert not [s for s in starts if s[0].startswith(context.job)]
+
+
+@when("the leader is killed")
+def kill_leader(context):
+    site = context.platform
+    leader = wait_for(lambda: site.find_leader() is not None, 15, "a leader")
+    leader = site.find_leader()
+    site.nodes[leader].kill()
+    context.add_cleanup(bring_back, context, leader)
+
+
+def bring_back(context, number):
+    site = context.platform
+    if site.nodes[number].process.poll() is not None:
+        site.nodes[number].restart()
+    wait_for(lambda: site.is_ready(site.ips[number]), 30, "node back")
+
+
+@then('both jobs are shown as "{state}" within {seconds:d} s')
+def check_both(context, state, seconds):
+    node = live_nodes(context)[0]
+    for job_id in (context.first, context.job):
+        wait_for(lambda j=job_id: read_state(context, j, node) == state, seconds, state)
+
+
+@then("nothing has run twice")
+def check_not_twice(context):
+    problems = context.platform.read_ledger()["problems"]
+    assert not problems, problems
+
+
+@given("the store loses a third of its answers and writes late")
+def lose_answers(context):
+    context.platform.set_store_faults(lost_share=0.33, late_s=1.0)
+    context.add_cleanup(heal, context)
+
+
+@given("workers carry out a third of the orders {seconds:f} s late")
+def make_late(context, seconds):
+    site = context.platform
+    for number in range(len(site.workers)):
+        site.set_worker_faults(number, late_share=0.33, late_s=seconds)
+        context.add_cleanup(site.set_worker_faults, number)
+
+
+@given("the store forgets its history again and again")
+def forget_history(context):
+    context.forget = True
+
+
+@when("clients submit {count:d} jobs of 1 task of {takes:f} s, retrying unknown ones")
+def submit_many(context, count, takes):
+    context.accepted = []
+    for _ in range(count):
+        job_id = make_id()
+        for _ in range(4):
+            if getattr(context, "forget", False):
+                from standins.site import call
+
+                call(context.platform.store, "POST", "/drop-history", {})
+            status = submit(context, [make_step()], takes_s=takes, job_id=job_id)
+            if status == 200:
+                context.accepted.append(job_id)
+            if status in (200, 503):
+                break
+    assert context.accepted
+
+
+@then("all jobs that were accepted are completed within {seconds:d} s")
+def check_accepted(context, seconds):
+    node = live_nodes(context)[0]
+    end = time.monotonic() + seconds
+    for job_id in context.accepted:
+        left = max(0.5, end - time.monotonic())
+        wait_for(
+            lambda j=job_id: read_state(context, j, node) == "completed", left, job_id
+        )
+
+
+@when("the leader is asked to stop while clients submit jobs")
+def stop_leader(context):
+    site = context.platform
+    wait_for(lambda: site.find_leader() is not None, 15, "a leader")
+    leader = site.find_leader()
+    context.old_leader, context.cuts, context.accepted = leader, [], []
+    connection = http.client.HTTPConnection(site.ips[leader], site.front, timeout=5)
+    site.nodes[leader].signal(signal.SIGTERM)
+    context.stopped_at = time.monotonic()
+    context.led_after = None
+    while time.monotonic() - context.stopped_at < 3.5:
+        job_id = make_id()
+        body = json.dumps({"spec": "0.2", "steps": [make_step()]})
+        headers = {"Host": "jobs.example", "Authorization": f"Bearer {KEY}"}
+        try:
+            connection.request("POST", f"/q1/{job_id}", body=body, headers=headers)
+            response = connection.getresponse()
+            response.read()
+            if response.status == 200:
+                context.accepted.append(job_id)
+        except ConnectionRefusedError:
+            break
+        except OSError as error:
+            context.cuts.append(repr(error))
+            break
+        if context.led_after is None:
+            found = site.find_leader()
+            if found is not None and found != leader:
+                context.led_after = time.monotonic() - context.stopped_at
+        time.sleep(0.1)
+    context.add_cleanup(bring_back, context, leader)
+    site.nodes[leader].process.wait(10)
+
+
+@then("no call on an open connection is cut")
+def check_cuts(context):
+    assert not context.cuts, context.cuts
+
+
+@then("a successor leads within {seconds:d} s of the signal")
+def check_successor(context, seconds):
+    assert context.led_after is not None
+    assert context.led_after < seconds, context.led_after
+
+
+@when("a node's settings file becomes wrong and it gets SIGHUP")
+def break_settings(context):
+    node = context.platform.nodes[0]
+    context.right = node.settings.read_text()
+    node.settings.write_text("node = 7")
+    node.signal(signal.SIGHUP)
+
+
+@then("it says so in its log and goes on serving")
+def check_refused_settings(context):
+    node = context.platform.nodes[0]
+    wait_for(lambda: "settings refused" in node.log.read_text(), 5, "refused")
+    assert context.platform.is_ready(node.ip)
+
+
+@when("the settings file is right again")
+def mend_settings(context):
+    context.platform.nodes[0].settings.write_text(context.right)
+
+
+@then("it says that it has reloaded it")
+def check_reloaded(context):
+    node = context.platform.nodes[0]
+    wait_for(lambda: "settings reloaded" in node.log.read_text(), 5, "reloaded")
+
+
+@when("a node is started with a settings file that lacks the store's address")
+def start_wrong(context):
+    path = context.platform.directory / "wrong.toml"
+    text = context.platform.nodes[0].settings.read_text()
+    path.write_text("\n".join(x for x in text.splitlines() if "address" not in x))
+    context.ended = subprocess.run(
+        [sys.executable, "deploy/launch.py", "node", f"--node_file={path}"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+
+
+@then("it ends with code 2 and names the field")
+def check_ended(context):
+    assert context.ended.returncode == 2, context.ended
+    assert "platform" in context.ended.stderr, context.ended.stderr
+    assert "address" in context.ended.stderr, context.ended.stderr
--- a/src/firladder/_internal/platform/store.py
+++ b/src/firladder/_internal/platform/store.py
@@ -238,7 +238,7 @@
         if answer.status == 404:
             return LeaseEnded(reason="the lease of a written key has ended")
         if answer.status == 412:
-            held = self._decode(answer, _Items)
+            held = self._decode(answer, _Items, status=412)
             if not isinstance(held, _Items):
                 return held
             return Conflict(tuple(map(_convert, held.items)))
@@ -310,8 +310,10 @@
             self.on_state(False, getattr(failure, "reason", ""))
         return failure
 
-    def _decode(self, answer: HttpAnswer, type_: type[T]) -> T | StoreUncertain:
-        if answer.status != 200:
+    def _decode(
+        self, answer: HttpAnswer, type_: type[T], *, status: int = 200
+    ) -> T | StoreUncertain:
+        if answer.status != status:
             logger.warning("store answered %d: %r", answer.status, answer.body[:200])
             return StoreUncertain(reason=f"unexpected status {answer.status}")
         try:
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,84 @@
+"""The platform's store and workers in one process, for tests without a bench."""
+
+import argparse
+import asyncio
+from typing import Any
+
+import msgspec
+
+from firladder._internal.network.http_server import (
+    HttpCall,
+    HttpReply,
+    HttpServer,
+    reply_json,
+)
+
+from .platform_store import MemoryStore, StoreApp, routes
+from .platform_workers import BEAT_S, Ledger, Worker
+from .process import run_standin
+
+TASKS: set["asyncio.Task[Any]"] = set()
+
+
+class PlatformApp(StoreApp):
+    """The store, and what the workers have seen."""
+
+    def __init__(self, store: MemoryStore, ledger: Ledger) -> None:
+        """Serve ``store`` and tell of ``ledger``."""
+        super().__init__(store)
+        self.ledger = ledger
+
+
+@routes.route("GET", "/ledger")
+async def show_ledger(app: PlatformApp, call: HttpCall) -> HttpReply:
+    """Return all starts, all tasks done, and what went wrong."""
+    ledger = app.ledger
+    running = {
+        w.worker_id: sorted(r.task for r in w.runs.values()) for w in ledger.workers
+    }
+    return reply_json(
+        {
+            "starts": ledger.starts,
+            "done": sorted(ledger.done),
+            "problems": ledger.problems,
+            "running": running,
+            "calls": app.store.calls,
+        }
+    )
+
+
+async def beat(store: MemoryStore, worker: Worker) -> None:
+    """Register a worker again and again under a lease, as a live one does."""
+    seq = 0
+    while True:
+        seq += 1
+        if not worker.faults.silent and (seq == 1 or seq % 30 == 0):
+            entry = msgspec.json.encode(worker.describe(seq))
+            await store.put(f"servers/{worker.worker_id}", entry)
+        await asyncio.sleep(BEAT_S)
+
+
+async def serve(options: argparse.Namespace) -> None:
+    """Start the store and the workers."""
+    store, ledger = MemoryStore(options.seed), Ledger()
+    HttpServer(PlatformApp(store, ledger), routes).listen(options.store)
+    loops = [store.expire()]
+    for number, address in enumerate(options.workers.split(",")):
+        worker = Worker(number, address, ledger, options.seed)
+        ledger.workers.append(worker)
+        worker.server.listen(address)
+        loops += [worker.tick(), beat(store, worker)]
+    TASKS.update(asyncio.get_running_loop().create_task(x) for x in loops)
+
+
+def main() -> None:
+    """Serve until told to stop."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--store", required=True, help="ip:port of the store")
+    parser.add_argument("--workers", required=True, help="ip:port,... of the workers")
+    parser.add_argument("--seed", type=int, default=0)
+    run_standin(parser, serve)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/platform_site.py
@@ -0,0 +1,190 @@
+"""A whole platform on loopback addresses: stand-ins, and nodes as processes."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import urllib.parse
+from pathlib import Path
+from typing import Any
+
+from .site import ROOT, Child, call, claim_ports, wait_for
+
+KEY = "key-of-the-organisation"
+
+CONFIGURATION: dict[str, Any] = {
+    "version": 1,
+    "routes": [
+        {
+            "name": f"queue-{priority}",
+            "hostname": "jobs.example",
+            "prefix": f"/q{priority}/",
+            "backend": "pool-a",
+            "priority": priority,
+            "max_attempts": 3,
+            "stretch": 3.0,
+            "slo_ms": 1000,
+        }
+        for priority in range(3)
+    ],
+    "services": [{"name": "pool-a", "enforces_capacity": False}],
+    "limits": {"max_body_bytes": 262144, "idle_timeout_ms": 15000},
+    "tenants": [
+        {"name": "alpin", "api_keys": [KEY], "guaranteed_gpu": {"gpu": 8}},
+    ],
+}
+
+TEMPLATE = """
+node = "{name}"
+ip = "{ip}"
+zone = "{zone}"
+port_range = [{peer_port}, {last_port}]
+seeds = [{seeds}]
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+[platform]
+address = "{store}"
+min_ttl_ms = 1000
+"""
+
+
+class NodeChild(Child):
+    """A node: like any other child, with its settings file in the environment."""
+
+    def __init__(self, name: str, ip: str, settings: Path, log: Path) -> None:
+        """Start the node."""
+        self.ip = ip
+        self.settings = settings
+        super().__init__(
+            name, [sys.executable, str(ROOT / "deploy" / "launch.py"), "node"], log
+        )
+
+    def _start(self) -> "subprocess.Popen[bytes]":
+        environment = {**os.environ, "FIRLADDER_NODE_FILE": str(self.settings)}
+        with self.log.open("ab") as log:
+            return subprocess.Popen(
+                self.command,
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+            )
+
+
+class PlatformSite:
+    """Stand-ins of the platform, and nodes on addresses of their own."""
+
+    def __init__(self, *, nodes: int = 2, workers: int = 2, seed: int = 0) -> None:
+        """Prepare; nothing runs yet."""
+        self._lock, ports = claim_ports()
+        self.peer_port, self.metrics_port = next(ports), next(ports)
+        if self.metrics_port != self.peer_port + 1:
+            raise AssertionError("ports of a block follow each other")
+        self.front, self.ready = next(ports), next(ports)
+        self.store = f"127.0.9.1:{next(ports)}"
+        self.workers = [f"127.0.9.2:{next(ports)}" for _ in range(workers)]
+        self.directory = Path(tempfile.mkdtemp(prefix="firladder-platform-"))
+        self.ips = [f"127.0.{8 + n % 3 * 20}.{n + 1}" for n in range(nodes)]
+        self.nodes: list[NodeChild] = []
+        self.seed = seed
+        self.configuration = json.loads(json.dumps(CONFIGURATION))
+
+    def start(self) -> None:
+        """Start everything and wait until jobs can be taken."""
+        command = [sys.executable, "-m", "standins.platform", "--store", self.store]
+        command += ["--workers", ",".join(self.workers), "--seed", str(self.seed)]
+        self.platform = Child("platform", command, self.directory / "platform.log")
+        wait_for(lambda: call(self.store, "GET", "/ledger")[0] == 200, 20, "stand-ins")
+        self.configure()
+        for number in range(len(self.ips)):
+            self.start_node(number)
+        for ip in self.ips:
+            wait_for(lambda ip=ip: self.is_ready(ip), 30, f"node {ip}")
+
+    def start_node(self, number: int) -> NodeChild:
+        """Start one node."""
+        ip = self.ips[number]
+        seeds = ", ".join(f'"{other}:1"' for other in self.ips[:3])
+        settings = self.directory / f"node-{number}.toml"
+        settings.write_text(
+            TEMPLATE.format(
+                name=f"entry-{number}",
+                ip=ip,
+                zone="d",
+                peer_port=self.peer_port,
+                last_port=self.peer_port + 9,
+                seeds=seeds,
+                front=self.front,
+                ready=self.ready,
+                store=self.store,
+            )
+        )
+        log = self.directory / f"node-{number}.log"
+        node = NodeChild(f"entry-{number}", ip, settings, log)
+        self.nodes.append(node)
+        return node
+
+    def configure(self) -> None:
+        """Store the configuration as the operator would."""
+        self.put("op/config", self.configuration)
+
+    def put(self, key: str, value: Any) -> None:
+        """Write to the store as another writer."""
+        status, _ = call(self.store, "POST", "/put", {"key": key, "value": value})
+        assert status == 200, status
+
+    def set_store_faults(self, **faults: Any) -> None:
+        """Let the store do wrong."""
+        call(self.store, "POST", "/faults", faults)
+
+    def set_worker_faults(self, number: int, **faults: Any) -> None:
+        """Let a worker do wrong."""
+        call(self.workers[number], "POST", "/faults", faults)
+
+    def is_ready(self, ip: str) -> bool:
+        """Tell whether a node wants new connections."""
+        return call(f"{ip}:{self.ready}", "GET", "/-/ready")[0] == 200
+
+    def ask(
+        self, method: str, path: str, body: Any = None, *, node: int = 0, **more: Any
+    ) -> tuple[int, Any]:
+        """Call a node as a client of the organisation would."""
+        headers = {
+            "Host": "jobs.example",
+            "Authorization": f"Bearer {more.get('key', KEY)}",
+            "X-Deadline-Ms": str(more.get("deadline_ms", 2500)),
+        }
+        address = f"{self.ips[node]}:{self.front}"
+        path = urllib.parse.quote(path)
+        return call(address, method, path, body, headers=headers, timeout_s=10)
+
+    def read_ledger(self) -> dict[str, Any]:
+        """Return what the workers have seen."""
+        found: dict[str, Any] = call(self.store, "GET", "/ledger")[1]
+        return found
+
+    def find_leader(self) -> int | None:
+        """Return the number of the node that leads."""
+        for number, ip in enumerate(self.ips):
+            try:
+                _, text = call(f"{ip}:{self.metrics_port}", "GET", "/metrics")
+            except OSError:
+                continue
+            lines = [x for x in text.splitlines() if "leading_token" in x]
+            if any(float(x.split()[-1]) > 0 for x in lines if x[0] != "#"):
+                return number
+        return None
+
+    def read_logs(self) -> str:
+        """Return what all nodes have logged."""
+        return "".join(n.log.read_text() for n in self.nodes)
+
+    def stop(self) -> None:
+        """End everything that this site started."""
+        for node in self.nodes:
+            node.kill()
+        self.platform.kill()
+        self._lock.close()
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,279 @@
+"""Stand-in of the platform's metadata store, in the platform's own dialect.
+
+Kept in memory: one revision order, transactions, leases, watches. Faults can be
+set while it runs: turning callers away, silence, lost or late answers.
+"""
+
+import asyncio
+import base64
+import itertools
+import random
+import time
+from typing import Any
+
+import msgspec
+
+from firladder._internal.network.http_server import (
+    HttpCall,
+    HttpReply,
+    RouteTable,
+    reply_json,
+)
+
+routes = RouteTable()
+
+
+class StoreFaults(msgspec.Struct):
+    """What to do wrong; ``turned_away`` lists IP numbers that get 503.
+
+    ``lost_share`` of the transactions are done and not answered, ``late_s``
+    seconds later if that is set. ``silent`` leaves every call without an answer.
+    """
+
+    turned_away: tuple[str, ...] = ()
+    silent: bool = False
+    busy: bool = False
+    lost_share: float = 0.0
+    late_s: float = 0.0
+    delay_s: float = 0.0
+
+
+class Row(msgspec.Struct):
+    """A stored item."""
+
+    value: str
+    revision: int
+    created: int
+    lease: int
+
+
+class MemoryStore:
+    """The state of the store."""
+
+    def __init__(self, seed: int = 0) -> None:
+        """Start empty."""
+        self.rows: dict[str, Row] = {}
+        self.revision = 1
+        self.oldest = 0
+        self.history: list[dict[str, Any]] = []
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.lease_ids = itertools.count(1)
+        self.changed = asyncio.Condition()
+        self.faults = StoreFaults()
+        self.rng = random.Random(seed)
+        self.calls = 0
+
+    async def apply(self, puts: list[dict[str, Any]], remove: list[str]) -> int:
+        """Write and remove as one revision; return it."""
+        self.revision += 1
+        for put in puts:
+            former = self.rows.get(put["key"])
+            created = former.created if former is not None else self.revision
+            row = Row(put["value"], self.revision, created, put.get("lease", 0))
+            self.rows[put["key"]] = row
+            self.history.append(_describe(put["key"], row))
+        for key in remove:
+            if self.rows.pop(key, None) is not None:
+                self.history.append(
+                    {"key": key, "revision": self.revision, "tombstone": True}
+                )
+        applied = self.revision
+        async with self.changed:
+            self.changed.notify_all()
+        return applied
+
+    async def put(self, key: str, value: bytes) -> int:
+        """Write as the operator or a worker would."""
+        return await self.apply([{"key": key, "value": encode_value(value)}], [])
+
+    async def expire(self) -> None:
+        """End leases that were not renewed, with their keys."""
+        while True:
+            await asyncio.sleep(0.05)
+            now = time.monotonic()
+            for lease in [i for i, (_, end) in self.leases.items() if end < now]:
+                await self.end_lease(lease)
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease, with its keys."""
+        self.leases.pop(lease, None)
+        keys = [k for k, row in self.rows.items() if row.lease == lease]
+        if keys:
+            await self.apply([], keys)
+
+    def drop_history(self) -> None:
+        """Forget all changes up to now."""
+        self.history.clear()
+        self.oldest = self.revision
+
+
+def encode_value(value: bytes) -> str:
+    """Return a value as it travels."""
+    return base64.b64encode(value).decode()
+
+
+def _describe(key: str, row: Row) -> dict[str, Any]:
+    return {"key": key, **msgspec.to_builtins(row)}
+
+
+class StoreApp:
+    """The store as its HTTP calls see it."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        """Serve ``store``."""
+        self.store = store
+
+    async def admit(self, call: HttpCall) -> HttpReply | None:
+        """Return the refusal that the faults ask for, if any."""
+        self.store.calls += 1
+        faults = self.store.faults
+        if faults.silent:
+            await call.gone.wait()
+        if faults.busy or call.source_ip in faults.turned_away:
+            return HttpReply(503)
+        await asyncio.sleep(faults.delay_s)
+        return None
+
+
+@routes.route("GET", "/-/kv-key")
+async def read_key(app: StoreApp, call: HttpCall) -> HttpReply:
+    """Return one item."""
+    refused = await app.admit(call)
+    if refused is not None:
+        return refused
+    key = call.query["key"]
+    row = app.store.rows.get(key)
+    if row is None:
+        return reply_json({"at": app.store.revision}, status=404)
+    return reply_json({**_describe(key, row), "at": app.store.revision})
+
+
+@routes.route("GET", "/-/kv-range")
+async def read_range(app: StoreApp, call: HttpCall) -> HttpReply:
+    """Return a page of items."""
+    refused = await app.admit(call)
+    if refused is not None:
+        return refused
+    after = call.query.get("after", "")
+    keys = sorted(
+        k for k in app.store.rows if k.startswith(call.query["prefix"]) and k > after
+    )
+    items = [_describe(k, app.store.rows[k]) for k in keys[:50]]
+    more = len(keys) > 50
+    return reply_json({"items": items, "has_more": more, "at": app.store.revision})
+
+
+@routes.route("GET", "/-/kv-watch")
+async def watch(app: StoreApp, call: HttpCall) -> HttpReply:
+    """Return what changed since a revision, waiting for it."""
+    refused = await app.admit(call)
+    if refused is not None:
+        return refused
+    store = app.store
+    prefix, after = call.query["prefix"], int(call.query["after"])
+    until = time.monotonic() + int(call.query["wait_ms"]) / 1000
+    while True:
+        if after < store.oldest:
+            return HttpReply(410)
+        events = [
+            e
+            for e in store.history
+            if e["revision"] > after and e["key"].startswith(prefix)
+        ]
+        left = until - time.monotonic()
+        if events or left <= 0:
+            return reply_json({"events": events, "at": store.revision})
+        async with store.changed:
+            try:
+                await asyncio.wait_for(store.changed.wait(), left)
+            except TimeoutError:
+                continue
+
+
+@routes.route("POST", "/-/kv-txn")
+async def commit(app: StoreApp, call: HttpCall) -> HttpReply:
+    """Write all or nothing."""
+    refused = await app.admit(call)
+    if refused is not None:
+        return refused
+    store = app.store
+    body = msgspec.json.decode(call.body)
+    lost = store.rng.random() < store.faults.lost_share
+    if lost and store.faults.late_s:
+        await asyncio.sleep(store.faults.late_s)
+    keys = [row["key"] for row in body["expected"]]
+    held = {k: store.rows[k] for k in keys if k in store.rows}
+    conflict = any(
+        (held[row["key"]].revision if row["key"] in held else 0) != row["revision"]
+        for row in body["expected"]
+    )
+    if conflict:
+        items = [_describe(k, row) for k, row in held.items()]
+        reply = reply_json({"items": items}, status=412)
+    elif any(p.get("lease") and p["lease"] not in store.leases for p in body["puts"]):
+        reply = HttpReply(404)
+    else:
+        revision = await store.apply(body["puts"], body["remove"])
+        reply = reply_json({"revision": revision})
+    if lost:
+        await call.gone.wait()
+    return reply
+
+
+@routes.route("POST", "/-/kv-lease")
+async def grant(app: StoreApp, call: HttpCall) -> HttpReply:
+    """Grant a lease."""
+    refused = await app.admit(call)
+    if refused is not None:
+        return refused
+    ttl_s = max(1.0, msgspec.json.decode(call.body)["ttl_ms"] / 1000)
+    lease = next(app.store.lease_ids)
+    app.store.leases[lease] = (ttl_s, time.monotonic() + ttl_s)
+    return reply_json({"lease": lease, "ttl_ms": ttl_s * 1000})
+
+
+@routes.route("POST", "/-/kv-keep/{lease}")
+async def keep(app: StoreApp, call: HttpCall) -> HttpReply:
+    """Renew a lease."""
+    refused = await app.admit(call)
+    if refused is not None:
+        return refused
+    lease = int(call.params["lease"])
+    if lease not in app.store.leases:
+        return HttpReply(404)
+    ttl_s, _ = app.store.leases[lease]
+    app.store.leases[lease] = (ttl_s, time.monotonic() + ttl_s)
+    return reply_json({"ttl_ms": ttl_s * 1000})
+
+
+@routes.route("DELETE", "/-/kv-lease-end/{lease}")
+async def end(app: StoreApp, call: HttpCall) -> HttpReply:
+    """End a lease."""
+    refused = await app.admit(call)
+    if refused is not None:
+        return refused
+    await app.store.end_lease(int(call.params["lease"]))
+    return reply_json({})
+
+
+@routes.route("POST", "/faults")
+async def set_faults(app: StoreApp, call: HttpCall) -> HttpReply:
+    """Do wrong from now on."""
+    app.store.faults = msgspec.json.decode(call.body, type=StoreFaults)
+    return reply_json({})
+
+
+@routes.route("POST", "/drop-history")
+async def drop_history(app: StoreApp, call: HttpCall) -> HttpReply:
+    """Forget all changes, as the platform may at any time."""
+    app.store.drop_history()
+    return reply_json({})
+
+
+@routes.route("POST", "/put")
+async def put(app: StoreApp, call: HttpCall) -> HttpReply:
+    """Write as the operator, or as any other writer."""
+    body = msgspec.json.decode(call.body)
+    value = body["value"]
+    raw = value.encode() if isinstance(value, str) else msgspec.json.encode(value)
+    return reply_json({"revision": await app.store.put(body["key"], raw)})
--- /dev/null
+++ b/standins/platform_workers.py
@@ -0,0 +1,235 @@
+"""Stand-ins of the platform's workers: they run tasks as timers.
+
+Each keeps fencing tokens, run numbers, leases and ends as the platform's workers
+do, guards no capacity, and notes what it was told that it should not have been.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import random
+import time
+from typing import Any
+
+import msgspec
+
+from firladder._internal.network.http_server import (
+    HttpCall,
+    HttpReply,
+    HttpServer,
+    RouteTable,
+    reply_json,
+)
+
+routes = RouteTable()
+
+BEAT_S = 1.0
+
+
+class WorkerFaults(msgspec.Struct):
+    """What to do wrong.
+
+    ``late_share`` of the orders are carried out ``late_s`` seconds later without
+    an answer; ``reject`` starts; ``silent`` answers nothing.
+    """
+
+    late_share: float = 0.0
+    late_s: float = 1.0
+    reject: bool = False
+    silent: bool = False
+    fail_share: float = 0.0
+
+
+@dataclasses.dataclass
+class Run:
+    """A task at work."""
+
+    task: str
+    run: int
+    began_at: float
+    takes_s: float
+
+
+class Ledger:
+    """What all workers of a site have started and finished, for the checks."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.starts: list[tuple[str, int, str]] = []
+        self.done: set[str] = set()
+        self.problems: list[str] = []
+        self.workers: list[Worker] = []
+
+    def note_start(self, worker: "Worker", task: str, run: int) -> None:
+        """Check a start against everything that runs or is done."""
+        self.starts.append((task, run, worker.worker_id))
+        for other in self.workers:
+            if any(r.task == task for r in other.runs.values()):
+                self.problems.append(f"{task} run {run} runs twice")
+        if task in self.done:
+            self.problems.append(f"{task} run {run} started after it was done")
+
+
+class Worker:
+    """One worker."""
+
+    def __init__(self, number: int, address: str, ledger: Ledger, seed: int) -> None:
+        """Listen nowhere yet."""
+        self.worker_id = f"i-{number:04x}"
+        self.address = address
+        self.rack = f"r1-{number // 4}"
+        self.ledger = ledger
+        self.rng = random.Random(seed * 1000 + number)
+        self.faults = WorkerFaults()
+        self.runs: dict[tuple[str, int], Run] = {}
+        self.highest: dict[str, int] = {}
+        self.ended: list[list[Any]] = []
+        self.numbers = itertools.count(1)
+        self.token = 0
+        self.lease_until = 0.0
+        self.changed = asyncio.Condition()
+        self.server = HttpServer(self, routes)
+
+    def describe(self, seq: int) -> dict[str, Any]:
+        """Return the entry under which the worker registers."""
+        return {
+            "backend": "pool-a",
+            "address": self.address,
+            "zone": "d",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "capacity": {"cpu": 32000, "mem_mb": 65536, "gpu": 8},
+            "labels": ["a", self.rack],
+            "clock_ms": time.monotonic() * 1000,
+            "seq": seq,
+        }
+
+    async def tick(self) -> None:
+        """End what is done or has lapsed."""
+        while True:
+            await asyncio.sleep(0.02)
+            now = time.monotonic()
+            for key, run in list(self.runs.items()):
+                if now > self.lease_until:
+                    await self.end(key, "lapsed")
+                elif now - run.began_at > run.takes_s:
+                    failed = self.rng.random() < self.faults.fail_share
+                    await self.end(key, "failed" if failed else "done")
+
+    async def end(self, key: tuple[str, int], how: str) -> None:
+        """List the end of a run."""
+        del self.runs[key]
+        task, run = key
+        self.highest[task] = max(run, self.highest.get(task, 0))
+        if how == "done":
+            self.ledger.done.add(task)
+        self.ended.append([next(self.numbers), task, run, how, ""])
+        async with self.changed:
+            self.changed.notify_all()
+
+    def check_call(self, call: HttpCall, token: int) -> HttpReply | None:
+        """Return the refusal of a call that is not for this incarnation or leader."""
+        meant = call.headers.get("x-target-instance", self.worker_id)
+        if meant != self.worker_id:
+            return HttpReply(421)
+        if token < self.token:
+            return self.reply(409, reason="fence")
+        self.token = token
+        return None
+
+    def reply(self, status: int = 200, **fields: Any) -> HttpReply:
+        """Return an answer with the worker's clock."""
+        return reply_json(
+            {"clock_ms": time.monotonic() * 1000, **fields}, status=status
+        )
+
+    def extend(self, deadline_ms: float) -> None:
+        """Lengthen the lease of everything."""
+        limit = time.monotonic() + 10.0
+        self.lease_until = max(self.lease_until, min(deadline_ms / 1000, limit))
+
+    async def delay(self, call: HttpCall) -> bool:
+        """Wait as the faults ask; tell whether the answer is to be withheld."""
+        if self.faults.silent:
+            await call.gone.wait()
+            return True
+        if self.rng.random() < self.faults.late_share:
+            await asyncio.sleep(self.faults.late_s)
+            return True
+        return False
+
+
+@routes.route("POST", "/-/run-start")
+async def start(worker: Worker, call: HttpCall) -> HttpReply:
+    """Begin a task."""
+    body = msgspec.json.decode(call.body)
+    withheld = await worker.delay(call)
+    reply = worker.check_call(call, body["fencing_token"]) or _begin(worker, body)
+    if withheld:
+        await call.gone.wait()
+    return reply
+
+
+def _begin(worker: Worker, body: dict[str, Any]) -> HttpReply:
+    task, run = body["task"], body["run"]
+    if worker.faults.reject:
+        return worker.reply(409, reason="room")
+    if (task, run) in worker.runs:
+        return worker.reply()
+    if run <= worker.highest.get(task, 0):
+        return worker.reply(409, reason="old")
+    worker.extend(body["deadline_ms"])
+    worker.ledger.note_start(worker, task, run)
+    worker.runs[task, run] = Run(task, run, time.monotonic(), float(body["spec"]))
+    return worker.reply()
+
+
+@routes.route("POST", "/-/run-stop")
+async def stop(worker: Worker, call: HttpCall) -> HttpReply:
+    """End a task."""
+    body = msgspec.json.decode(call.body)
+    withheld = await worker.delay(call)
+    reply = worker.check_call(call, body["fencing_token"])
+    if reply is None:
+        task = body["task"]
+        worker.highest[task] = max(body["run"], worker.highest.get(task, 0))
+        for key in [k for k in worker.runs if k[0] == task]:
+            await worker.end(key, "stopped")
+        reply = worker.reply()
+    if withheld:
+        await call.gone.wait()
+    return reply
+
+
+@routes.route("POST", "/-/hold")
+async def hold(worker: Worker, call: HttpCall) -> HttpReply:
+    """List what runs and what has ended."""
+    body = msgspec.json.decode(call.body)
+    if worker.faults.silent:
+        await call.gone.wait()
+    refused = worker.check_call(call, body["fencing_token"])
+    if refused is not None:
+        return refused
+    if "deadline_ms" in body:
+        worker.extend(body["deadline_ms"])
+    worker.ended = [row for row in worker.ended if row[0] > body["last_seen"]]
+    if not worker.ended and body.get("wait_ms"):
+        async with worker.changed:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(worker.changed.wait(), body["wait_ms"] / 1000)
+    now = time.monotonic()
+    running = [
+        [r.task, r.run, "", int(100 * (now - r.began_at) / max(r.takes_s, 0.001))]
+        for r in worker.runs.values()
+    ]
+    return worker.reply(running=running, ended=worker.ended)
+
+
+@routes.route("POST", "/faults")
+async def set_faults(worker: Worker, call: HttpCall) -> HttpReply:
+    """Do wrong from now on."""
+    worker.faults = msgspec.json.decode(call.body, type=WorkerFaults)
+    return reply_json({})
