--- a/src/firladder/_internal/engine/core.py
+++ b/src/firladder/_internal/engine/core.py
@@ -343,6 +343,15 @@
             self._planned.append(placement)
         self._touch(unit.job)
         unit.planned_version = unit.job.version
+        self.note(
+            "job planned",
+            job=unit.job.accepted.job_id,
+            step=unit.step_index,
+            occurrence=unit.occurrence,
+            index=unit.indices[0],
+            run=unit.run,
+            workers=sorted({p.worker_id for p in unit.placements.values()}),
+        )
 
     def evict(self, unit: Unit) -> None:
         """End a unit's run so that its room becomes free; it will run again."""
@@ -525,6 +534,15 @@
             return
         if ending == "failed":
             unit.run_failed = True
+        self.note(
+            "run ended",
+            job=unit.job.accepted.job_id,
+            step=unit.step_index,
+            index=placement.task.index,
+            run=placement.run,
+            worker=worker.worker_id,
+            how=ending or "not there",
+        )
         self._give_up_run(unit)
 
     def _settle(self, unit: Unit) -> None:
