Record until when the runs of a lost worker may last

Change: progress records say for workers out of reach when their last lease ends; a lease is granted again only when that record is corrected; starts to a worker out of reach are dropped before they are sent, so that no lease travels into a cut. A successor without such a record waits for the longest lease and the time for which a leader goes on without the store, no longer for late orders too.

Before: the two new scenarios fail (no such record).

--- a/features/engine_runs.feature
+++ b/features/engine_runs.feature
@@ -69,6 +69,29 @@
     When the worker tells the successor that "a" is at 40 per cent
     Then the successor shows "a" as "running" with one run
 
+  Scenario: A successor waits no longer for a lost worker than its last lease lasts
+    A worker leaves for good, its leader waits for the lease to end, and dies. The
+    successor cannot know when the lease was granted; reckoning from its own begin,
+    it would leave the job waiting for half a minute beside idle workers.
+    Given an engine with 2 workers of 8 accelerators
+    And job "a" of 1 task with 8 accelerators is at work
+    When its worker is out of reach for 9 seconds
+    And a successor loads what was durable at second 9
+    And the successor finds the worker out of reach for 5 seconds
+    Then "a" waits for its next run
+
+  Scenario: A lease is granted again only when the record of its end is corrected
+    A worker returns after a cut. The records say that its runs end soon; if the
+    leader renews the lease and dies, the successor would start them a second time.
+    Given an engine with 2 workers of 8 accelerators
+    And job "a" of 1 task with 8 accelerators is at work
+    When its worker is out of reach for 3 seconds
+    And what has changed becomes durable
+    And its worker answers again
+    Then no lease may be sent to it
+    When what has changed becomes durable
+    Then a lease may be sent to it
+
   Scenario: A run that came after it was given up is stopped and holds its room
     An order is carried out seconds late, after another run has taken its place.
     Left alone it would overfill its worker and do the work twice.
--- a/features/steps/engine_runs_steps.py
+++ b/features/steps/engine_runs_steps.py
@@ -129,6 +129,39 @@
     engine.core.check_lapses(began + seconds)
 
 
+@when("a successor loads what was durable at second {second:d}")
+def succeed_later(context, second):
+    context.engine.make_durable()
+    context.engine.now = context.began + second
+    context.engine.succeed()
+
+
+@when("the successor finds the worker out of reach for {seconds:d} seconds")
+def lose_reach_again(context, seconds):
+    engine = context.engine
+    placement = engine.find_placement("a")
+    engine.core.note_unreachable(engine.core.workers[placement.worker_id], engine.now)
+    engine.core.check_lapses(engine.now + seconds)
+
+
+@when("its worker answers again")
+def answer_again(context):
+    engine = context.engine
+    placement = engine.find_placement("a")
+    context.worker = engine.core.workers[placement.worker_id]
+    engine.report(context.worker, [RunningTask(placement.task, 1, "", 30)])
+
+
+@then("no lease may be sent to it")
+def check_not_granted(context):
+    assert not context.worker.may_be_granted
+
+
+@then("a lease may be sent to it")
+def check_granted(context):
+    assert context.worker.may_be_granted
+
+
 @then('"{name}" is still at work as far as the engine knows')
 def check_still(context, name):
     assert context.engine.find_unit(name).state is UnitState.BUSY
--- a/features/support/engine_chaos.py
+++ b/features/support/engine_chaos.py
@@ -99,6 +99,9 @@
         worker = world.core.workers.get(placement.worker_id)
         if worker is None:
             return
+        if not worker.may_be_granted:
+            world.core.read_start(placement, NotSent(reason="out of reach"), world.now)
+            return
         order = world.core.describe_start(placement)
         until = world.now + HOLD_S
         grant = leases.note_grant_sent(worker, now=world.now, hold_s=HOLD_S)
@@ -190,7 +193,7 @@
             world.core.note_unreachable(worker, world.now)
             return
         until = None
-        if worker.reachable and leases.needs_renewal(
+        if worker.may_be_granted and leases.needs_renewal(
             worker, now=world.now, hold_s=HOLD_S
         ):
             until = world.now + HOLD_S
@@ -263,12 +266,8 @@
         cancelled = [i for i, j in world.core.jobs.items() if j.cancelled]
         self.token += 1
         world.succeed()
-        lapse = leases.estimate_inherited_lapse(now=world.now, hold_s=HOLD_S)
         for job_id in cancelled:
             world.core.cancel_job(job_id)
-        for worker in world.core.workers.values():
-            if worker.placements:
-                worker.granted_until = lapse
 
     def reincarnate(self) -> None:
         world = self.world
--- a/features/support/engine_world.py
+++ b/features/support/engine_world.py
@@ -93,9 +93,8 @@
         return self.planner.run_pass(now=self.now, wall=self.now)
 
     def make_durable(self) -> None:
-        addresses = {w.worker_id: w.entry.address for w in self.core.workers.values()}
         for job_id, job in list(self.core.dirty.items()):
-            self.stored[job_id] = encode_progress(job, addresses)
+            self.stored[job_id] = encode_progress(job, self.core.workers, 0.0)
             self.core.mark_durable(job_id, job.version)
 
     def start_all(self) -> list:
@@ -131,10 +130,10 @@
         self.planner = Planner(self.core, early_s=0.25, reclaim_s=2.7)
         for entry in self.entries:
             self.core.see_worker(entry)
+        recorded = {i: decode_progress(value) for i, value in self.stored.items()}
         for job_id, accepted in self.accepted.items():
-            value = self.stored.get(job_id)
-            progress = decode_progress(value) if value is not None else None
-            self.core.add_job(accepted, progress)
+            self.core.add_job(accepted, recorded.get(job_id))
+        self.core.inherit_lapses(recorded, now=self.now, wall=self.now)
 
 
 class SimulatedWorker:
--- a/src/firladder/_internal/engine/core.py
+++ b/src/firladder/_internal/engine/core.py
@@ -12,7 +12,7 @@
 """
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from ..exceptions import (
     FencedOff,
@@ -32,6 +32,7 @@
 )
 from ..models.workload import AcceptedJob, QueueConfiguration, WorkerEntry
 from .health import blame_worker, clear_blame, is_stalled, note_percent
+from .leases import LATE_ORDER_S, estimate_inherited_lapse, read_recorded_lapse
 from .progress import JobProgress, restore_job
 from .state import (
     TERMINAL,
@@ -121,6 +122,37 @@
         if job.terminal:
             self._stop_all(job)
 
+    def inherit_lapses(
+        self, recorded: Mapping[str, JobProgress], *, now: float, wall: float
+    ) -> None:
+        """Take over until when the runs of each worker may last.
+
+        After an earlier leader's end a worker may be gone for good. Where the
+        records say when its last lease ends, that is waited for; otherwise the
+        longest that the earlier leader can have granted, which may keep a task
+        waiting for a long while with all workers idle.
+        """
+        unknown = estimate_inherited_lapse(now=now, hold_s=self.hold_s)
+        for worker in self.workers.values():
+            jobs = {p.task.job_id for p in worker.placements.values()}
+            known = [
+                recorded[job_id].lapses.get(worker.worker_id)
+                for job_id in jobs
+                if job_id in recorded
+            ]
+            lapses = [lapse for lapse in known if lapse is not None]
+            if not jobs:
+                continue
+            if len(lapses) < len(jobs):
+                worker.granted_until = unknown
+                continue
+            worker.granted_until = min(
+                unknown + LATE_ORDER_S,
+                read_recorded_lapse(max(lapses), now=now, wall=wall),
+            )
+            worker.reachable = False
+            worker.unreachable_at = now
+
     def cancel_job(self, job_id: str) -> None:
         """End a job on its caller's wish; unknown jobs are remembered."""
         job = self.jobs.get(job_id)
@@ -230,12 +262,28 @@
         if worker.reachable:
             worker.reachable = False
             worker.unreachable_at = now
+            self._touch_jobs(worker)
+
+    def _note_reachable(self, worker: Worker) -> None:
+        if not worker.reachable:
+            worker.reachable = True
+            worker.barrier = [(j, j.version) for j in self._touch_jobs(worker)]
+
+    def _touch_jobs(self, worker: Worker) -> list[Job]:
+        jobs = {
+            p.unit.job.accepted.job_id: p.unit.job
+            for p in worker.placements.values()
+            if p.unit is not None
+        }
+        for job in jobs.values():
+            self._touch(job)
+        return list(jobs.values())
 
     def read_report(
         self, worker: Worker, report: WorkerReport, *, sent_at: float, now: float
     ) -> None:
         """Take what a worker says of its runs; the look left at ``sent_at``."""
-        worker.reachable = True
+        self._note_reachable(worker)
         worker.claimed = True
         worker.clock_ahead_s = report.clock_s - now
         for end in report.ended:
@@ -407,7 +455,6 @@
         if worker is None or placement.key not in worker.placements:
             return
         if isinstance(answer, float):
-            worker.reachable = True
             if placement.settled_at == math.inf:
                 placement.settled_at = now
             if placement.phase is Phase.SENT:
@@ -448,7 +495,6 @@
         if worker is None:
             return
         if isinstance(answer, float):
-            worker.reachable = True
             placement.stop_answered = True
             placement.settled_at = now
         elif isinstance(answer, WorkerReplaced):
--- a/src/firladder/_internal/engine/leases.py
+++ b/src/firladder/_internal/engine/leases.py
@@ -15,6 +15,10 @@
 what already runs. Outages of the store are about as long; without it each one
 would end all work. A successor waits this much longer for lost workers."""
 
+WALL_SKEW_S = 2.5
+"""Seconds by which the clocks of two VMs may differ: they are close, but one may
+jump by two seconds."""
+
 RENEW_AHEAD = 0.35
 """Share of the longest lease after which it is renewed: the rest, two thirds, is
 what a cut may last without ending the work behind it."""
@@ -56,5 +60,14 @@
 
 
 def estimate_inherited_lapse(*, now: float, hold_s: float) -> float:
-    """Return when all leases that an earlier leader granted have surely ended."""
-    return now + BLIND_S + LATE_ORDER_S + hold_s * CLOCK_DRIFT
+    """Return when all leases that an earlier leader granted have surely ended.
+
+    Leases without an answer make a worker count as out of reach, which is in the
+    records; so those that an earlier leader left unrecorded have arrived.
+    """
+    return now + BLIND_S + hold_s * CLOCK_DRIFT
+
+
+def read_recorded_lapse(lapse_wall: float, *, now: float, wall: float) -> float:
+    """Return a recorded lapse on this leader's own clock."""
+    return now + max(0.0, lapse_wall - wall) + WALL_SKEW_S
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -98,7 +98,7 @@
         return (
             worker.claimed
             and worker.listed
-            and worker.reachable
+            and worker.may_be_granted
             and not worker.entry.draining
             and now >= worker.quarantined_until
             and now >= worker.full_until
--- a/src/firladder/_internal/engine/progress.py
+++ b/src/firladder/_internal/engine/progress.py
@@ -1,11 +1,13 @@
 """The durable record of a job's progress, written by the leader alone."""
 
+from collections.abc import Mapping
+
 import msgspec
 
 from ..exceptions import MalformedBody
 from ..models.workload import AcceptedJob
 from ..utils.codec import describe_error
-from .state import Job, JobState, Phase, Placement, Unit, UnitState
+from .state import Job, JobState, Phase, Placement, Unit, UnitState, Worker
 
 
 class PlacedTask(msgspec.Struct, frozen=True, array_like=True):
@@ -30,13 +32,15 @@
     """All that a successor must know of a job beyond its submission.
 
     ``addresses`` maps the workers named to where they listen: one that is not
-    registered at the moment can still be asked what it runs.
+    registered at the moment can still be asked what it runs. ``lapses`` tells for
+    those out of reach at what Unix time all that runs there has ended.
     """
 
     state: str
     units: tuple[UnitProgress, ...]
     addresses: dict[str, str] = {}
     ended_at: float = 0.0
+    lapses: dict[str, float] = {}
 
 
 _accepted_decoder = msgspec.msgpack.Decoder(AcceptedJob)
@@ -56,8 +60,11 @@
         return describe_error(error)
 
 
-def encode_progress(job: Job, addresses: dict[str, str]) -> bytes:
-    """Return the job's progress as it is stored."""
+def encode_progress(job: Job, workers: Mapping[str, Worker], ahead_s: float) -> bytes:
+    """Return the job's progress as it is stored.
+
+    ``ahead_s`` is Unix time less the clock of the workers' times.
+    """
     units = tuple(
         UnitProgress(
             number,
@@ -71,9 +78,11 @@
         if unit.run or unit.state is not UnitState.WAITING
     )
     named = {p.worker_id for u in units for p in u.placed}
-    known = {w: addresses[w] for w in sorted(named) if w in addresses}
+    known = [workers[w] for w in sorted(named) if w in workers]
+    addresses = {w.worker_id: w.entry.address for w in known}
+    lapses = {w.worker_id: w.lapses_at + ahead_s for w in known if not w.reachable}
     return msgspec.msgpack.encode(
-        JobProgress(job.state.value, units, known, job.ended_at)
+        JobProgress(job.state.value, units, addresses, job.ended_at, lapses)
     )
 
 
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -167,6 +167,7 @@
     claimed: bool = False
     reachable: bool = True
     unreachable_at: float = 0.0
+    barrier: list[tuple["Job", int]] = dataclasses.field(default_factory=list)
     granted_until: float = 0.0
     renewed_until: float = 0.0
     grants_sent: int = 0
@@ -207,6 +208,16 @@
         """Return when all that runs there has ended if no call reaches it."""
         return max(self.granted_until, *self.open_grants.values(), 0.0)
 
+    @property
+    def may_be_granted(self) -> bool:
+        """Tell whether a lease may be sent.
+
+        While a worker is out of reach, the record says until when its runs may
+        last. It must be corrected before a new lease makes them last longer.
+        """
+        self.barrier = [(j, v) for j, v in self.barrier if j.durable < v]
+        return self.reachable and not self.barrier
+
     def count_durable_ends(self) -> int:
         """Return the highest end up to which all are durable."""
         durable = self.last_acknowledged
--- a/src/firladder/_internal/node/attendant.py
+++ b/src/firladder/_internal/node/attendant.py
@@ -130,7 +130,7 @@
         grant = 0
         if owner.may_renew and leases.needs_renewal(worker, now=sent_at, hold_s=hold_s):
             deadline_s = leases.choose_deadline(worker, now=sent_at, hold_s=hold_s)
-        if deadline_s is not None and worker.reachable:
+        if deadline_s is not None and worker.may_be_granted:
             grant = leases.note_grant_sent(worker, now=sent_at, hold_s=hold_s)
         else:
             # A lease sent into a cut may arrive late, and nobody could tell
@@ -197,7 +197,10 @@
         hold_s = self._core.hold_s
         sent_at = owner.clock.read_monotonic()
         deadline_s = leases.choose_deadline(worker, now=sent_at, hold_s=hold_s)
-        if deadline_s is None:
+        if deadline_s is None or not worker.may_be_granted:
+            # Sent into a cut, its lease might arrive late and nobody could tell.
+            dropped = NotSent(reason="the worker is out of reach")
+            self._core.read_start(placement, dropped, sent_at)
             return
         grant = leases.note_grant_sent(worker, now=sent_at, hold_s=hold_s)
         order = self._core.describe_start(placement)
--- a/src/firladder/_internal/node/journal.py
+++ b/src/firladder/_internal/node/journal.py
@@ -100,11 +100,8 @@
     def _encode(self, job: Job) -> bytes:
         if job.state in TERMINAL and not job.ended_at:
             job.ended_at = self._clock.read_wall()
-        addresses = {
-            worker_id: worker.entry.address
-            for worker_id, worker in self._core.workers.items()
-        }
-        return encode_progress(job, addresses)
+        ahead_s = self._clock.read_wall() - self._clock.read_monotonic()
+        return encode_progress(job, self._core.workers, ahead_s)
 
     def _read_conflict(
         self, conflict: Conflict, job_ids: list[str]
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from ..engine.core import Core
-from ..engine.leases import BLIND_S, estimate_inherited_lapse
+from ..engine.leases import BLIND_S
 from ..engine.planning import Planner
 from ..engine.progress import (
     JobProgress,
@@ -160,12 +160,10 @@
             recorded[job_id] = found
         for item in intake.items:
             self._take_intake(item.key, item.value, recorded)
-        lapse = estimate_inherited_lapse(
-            now=self.clock.read_monotonic(), hold_s=self.core.hold_s
+        self.core.inherit_lapses(
+            recorded, now=self.clock.read_monotonic(), wall=self.clock.read_wall()
         )
         for worker in self.core.workers.values():
-            if worker.placements:
-                worker.granted_until = lapse
             self._attend(worker)
         self._timeline.record(
             Event.TERM_LOADED,
