Tell refused callers to come back later the longer the store is away

Ruled out: starting and showing outcomes without the store, which a successor could not know.

Change: Retry-After grows with the outage from 1 to 3 s; relays go only to peers that lately reached the store.

--- /dev/null
+++ b/features/steps/engine_refusing_steps.py
@@ -0,0 +1,34 @@
+from behave import given, then, when
+
+from firladder._internal.node.records import choose_retry_after
+
+HELD_S = 0.7
+
+
+@when("callers are refused {away:f} s after the store was lost")
+def refuse(context, away):
+    context.later = choose_retry_after(away)
+
+
+@then("they are told to come back after {later:d} s")
+def check_later(context, later):
+    assert round(context.later) == later, context.later
+
+
+@given("a store that is away for {seconds:d} s")
+def lose_store(context, seconds):
+    context.away = seconds
+
+
+@when("a caller comes at the first moment and obeys each answer, four times at most")
+def obey(context):
+    now = 0.0
+    for _ in range(4):
+        now += HELD_S
+        now += round(choose_retry_after(now))
+    context.last = now
+
+
+@then("its last try meets a store that answers")
+def check_last(context):
+    assert context.last > context.away, context.last
--- a/src/firladder/_internal/models/message.py
+++ b/src/firladder/_internal/models/message.py
@@ -144,6 +144,7 @@
     configuration_version: int = 0
     leader_ip: str = ""
     leader_token: int = 0
+    store_reachable: bool = True
 
 
 class NodeView(Body, frozen=True, kw_only=True, tag="node_view"):
@@ -153,6 +154,7 @@
     leader_ip: str = ""
     leader_token: int = 0
     configuration: bytes = b""
+    store_reachable: bool = True
 
 
 class SpreadConfiguration(Body, frozen=True, kw_only=True, tag="spread_configuration"):
--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -97,7 +97,9 @@
         self._leader_gone = asyncio.Event()
         self._worker_http = HttpClient(per_host=4)
         self.store = PlatformStore(
-            address=self.settings.store_address, http=HttpClient(per_host=16)
+            address=self.settings.store_address,
+            http=HttpClient(per_host=16),
+            clock=self.clock,
         )
         self.store.on_state = self._note_store
         self.fabric = Fabric(
@@ -115,6 +117,7 @@
             configuration=self.configuration,
             clock=self.clock,
             rng=self.rng,
+            reaches_store=lambda: self.store.reachable,
         )
         self.fleet.on_leader.append(self._note_leader)
         self.records = Records(store=self.store, fleet=self.fleet, clock=self.clock)
--- a/src/firladder/_internal/node/fleet.py
+++ b/src/firladder/_internal/node/fleet.py
@@ -52,8 +52,11 @@
         configuration: ConfigurationStore,
         clock: Clock,
         rng: random.Random,
+        reaches_store: Callable[[], bool],
     ) -> None:
         """Know ``seeds`` (IP numbers) to begin with."""
+        self._reaches_store = reaches_store
+        self._store_seen: dict[str, bool] = {}
         self._ip = ip
         self._port = port
         self._fabric = fabric
@@ -81,6 +84,18 @@
             del self._heard[ip]
         return list({*self._heard, *self._seeds})
 
+    def find_store_helper(self) -> str | None:
+        """Return a peer that lately reached the store, the leader first.
+
+        When the store is down for all there is none: asking peers then only adds
+        messages that may be lost, and a caller that could be told "not stored"
+        would have to be told "unknown".
+        """
+        able = [ip for ip in self.list_peers() if self._store_seen.get(ip)]
+        if self.leader_ip in able:
+            return self.leader_ip
+        return self._rng.choice(able) if able else None
+
     def note_leader(self, ip: str, token: int) -> None:
         """Take the leader with the highest token."""
         if token <= self.leader_token:
@@ -142,6 +157,7 @@
             return
         now = self._clock.read_monotonic()
         self._heard[ip] = now
+        self._store_seen[ip] = view.store_reachable
         for peer in view.peers:
             if peer != self._ip:
                 self._heard.setdefault(peer, now)
@@ -156,10 +172,12 @@
             configuration_version=self._configuration.version,
             leader_ip=self.leader_ip,
             leader_token=self.leader_token,
+            store_reachable=self._reaches_store(),
         )
 
     async def _answer_greeting(self, message: GreetNode) -> AnyBody:
         self._heard[message.ip] = self._clock.read_monotonic()
+        self._store_seen[message.ip] = message.store_reachable
         if message.leader_ip:
             self.note_leader(message.leader_ip, message.leader_token)
         newer = self._configuration.version > message.configuration_version
@@ -168,6 +186,7 @@
             leader_ip=self.leader_ip,
             leader_token=self.leader_token,
             configuration=self._configuration.raw if newer else b"",
+            store_reachable=self._reaches_store(),
         )
 
     async def _take_configuration(self, message: SpreadConfiguration) -> AnyBody:
--- a/src/firladder/_internal/node/records.py
+++ b/src/firladder/_internal/node/records.py
@@ -34,8 +34,11 @@
 RELAY_TIMEOUT_S = 0.5
 """Seconds for a peer to store a record for this node."""
 
-RETRY_AFTER_S = 1.0
-"""Seconds after which callers shall come back while the store is away."""
+LEAST_RETRY_AFTER_S = 1.0
+MOST_RETRY_AFTER_S = 3.0
+"""Bounds of the seconds after which callers shall come back. An outage that has
+lasted some seconds lasts about as long again, and callers come back only a few
+times: told one second each time, they have given up before the store returns."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +48,11 @@
     fresh: bool
 
 
+def choose_retry_after(away_s: float) -> float:
+    """Return when a caller shall come back to a store that is away for so long."""
+    return min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, away_s))
+
+
 class Records:
     """The intake's side of the store, directly or through a peer.
 
@@ -83,7 +91,7 @@
             return OutcomeUnknown(reason="the store did not tell in time")
         return StoreUnavailable(
             reason="the store takes no writes at the moment",
-            retry_after_s=RETRY_AFTER_S,
+            retry_after_s=choose_retry_after(self._store.unreachable_s(now)),
         )
 
     async def _try(
@@ -91,7 +99,7 @@
     ) -> Outcome:
         if not relay:
             return await self.create_here(key, value, timeout_s=min(0.8, left_s))
-        helper = self._choose_helper()
+        helper = self._fleet.find_store_helper()
         if helper is None:
             return "not_stored"
         reply = await self._fleet.ask(
@@ -101,11 +109,6 @@
         )
         return reply.outcome if isinstance(reply, StoreOutcome) else "unknown"
 
-    def _choose_helper(self) -> str | None:
-        if self._fleet.leader_ip and not self._fleet.leads:
-            return self._fleet.leader_ip
-        return next(iter(self._fleet.list_peers()), None)
-
     async def create_here(self, key: str, value: bytes, *, timeout_s: float) -> Outcome:
         """Create a record through this node's own path to the store."""
         result = await self._store.commit(
--- a/src/firladder/_internal/platform/store.py
+++ b/src/firladder/_internal/platform/store.py
@@ -20,6 +20,7 @@
     StoreUncertain,
 )
 from ..network.http_client import HttpAnswer, HttpClient
+from ..utils.clocks import Clock
 from ..utils.codec import encode_json
 
 logger = logging.getLogger(__name__)
@@ -138,14 +139,20 @@
 class PlatformStore:
     """Calls to the store; each failure says whether the call may have effect."""
 
-    def __init__(self, *, address: str, http: HttpClient) -> None:
+    def __init__(self, *, address: str, http: HttpClient, clock: Clock) -> None:
         """Call the store at ``address`` (``ip:port``)."""
+        self._clock = clock
+        self._lost_at = 0.0
         self.address = address
         self._http = http
         self.calls = 0
         self.reachable = True
         self.on_state: Callable[[bool, str], None] = lambda reachable, reason: None
 
+    def unreachable_s(self, now: float) -> float:
+        """Return for how long no call was answered; 0 if the last one was."""
+        return 0.0 if self.reachable else now - self._lost_at
+
     async def read_item(
         self, key: str
     ) -> Item | NotFound | StoreUnavailable | StoreUncertain:
@@ -307,6 +314,7 @@
     def _note_lost(self, failure: T) -> T:
         if self.reachable:
             self.reachable = False
+            self._lost_at = self._clock.read_monotonic()
             self.on_state(False, getattr(failure, "reason", ""))
         return failure
 
