Place urgent gangs in one rack, backfill around gangs, bound what evictions cost

The log's lines of plans and ends show: urgent gangs that did not fit their rack were spread at once, took three times as long and held their accelerators from the next ones; workers kept for large gangs stood idle; large gangs were broken for single small jobs (2,608 core-seconds for one); urgent jobs waited behind others that were late already.

Change: only guaranteed work nears its bound spreads, and gangs larger than any rack; workers kept for a gang still take tasks that end before; beyond the guarantee at most four core-seconds are lost for one of urgent work; urgent work that can be in time goes before urgent work that is late.

--- /dev/null
+++ b/features/engine_policy.feature
@@ -0,0 +1,86 @@
+Feature: Who waits, who makes way, and where work goes
+
+  Scenario: An urgent gang waits for its rack rather than spread at once
+    A burst of urgent gangs fills one rack. Spread over two, a gang takes three times
+    as long, is late itself and keeps its accelerators from the next ones.
+    Given an engine with 2 racks of 2 workers
+    And urgent gangs of other organisations hold 1 worker of each rack
+    When an urgent gang of 2 whole workers that wants one rack arrives
+    Then it is not planned
+    When the urgent gang in one rack ends
+    Then it is planned on the workers of that rack
+
+  Scenario: A guaranteed gang takes any racks before its time is over
+    An organisation's guarantee must begin within seconds, even at a slower pace.
+    Given an engine with 2 racks of 2 workers
+    And organisation "owner" is guaranteed 16 accelerators
+    And urgent gangs of other organisations hold 1 worker of each rack
+    When an urgent gang of 2 whole workers of "owner" that wants one rack arrives
+    Then it is not planned
+    When 1.8 seconds have passed
+    Then it is planned on workers of both racks
+
+  Scenario: A gang larger than any rack is spread at once
+    Given an engine with 2 racks of 2 workers
+    When a gang of 3 whole workers that wants one rack arrives
+    Then it is planned on workers of both racks
+
+  Scenario: Urgent work that can be in time goes before urgent work that is late
+    A burst of urgent jobs is larger than the room. In the order of arrival each
+    would wait behind those that are late already, and all would be late.
+    Given an engine with 1 rack of 1 worker
+    And urgent whole-worker jobs arrived 6, 5 and 0 seconds ago
+    When a pass is made
+    Then the job that arrived 0 seconds ago is planned
+    When that job ends and a pass is made
+    Then the job that arrived 6 seconds ago is planned
+
+  Scenario: Very late urgent work is not put off for ever
+    Given an engine with 1 rack of 1 worker
+    And urgent whole-worker jobs arrived 60, 5 and 0 seconds ago
+    When a pass is made
+    Then the job that arrived 60 seconds ago is planned
+
+  Scenario: Urgent work stops the work that loses least
+    Young work and work that saves its progress lose little by a stop; work that is
+    nearly done, or a wide gang, loses much.
+    Given an engine with 1 rack of 3 workers
+    And whole-worker jobs are at work: "old" for 8 s, "saving" for 8 s, "young" for 3 s
+    When an urgent job of 1 whole worker arrives
+    Then only "saving" is stopped for it
+
+  Scenario: A small urgent job does not break a large gang beyond its guarantee
+    A gang over many workers has run for some seconds. Breaking it for one small job
+    throws away more work than the job is worth, and both end late.
+    Given an engine with 1 rack of 8 workers
+    And a gang of 8 whole workers has been at work for 8 s
+    When an urgent job of 1 task with 1 accelerator arrives
+    Then nothing is stopped for it
+
+  Scenario: A guarantee is reclaimed whatever it costs
+    Given an engine with 1 rack of 8 workers
+    And organisation "owner" is guaranteed 16 accelerators
+    And a gang of 8 whole workers has been at work for 8 s
+    When an urgent job of 1 task with 1 accelerator of "owner" arrives
+    Then the gang is stopped for it, and it is planned when the room is free
+
+  Scenario: A stream of small tasks does not starve a large gang
+    Small tasks come all the time and each fits into what the last one left. The
+    gang waits for whole workers, which are never free at once.
+    Given an engine with 1 rack of 4 workers
+    When small tasks of 4 s arrive every 0.25 s, and a gang of 4 whole workers at 5 s
+    Then the gang begins within 15 s of its arrival
+    And small tasks go on being started after it
+
+  Scenario: Small tasks leave whole workers free
+    Given an engine with 1 rack of 4 workers
+    When 16 jobs of 1 task with 1 accelerator arrive
+    Then they are placed on 2 workers
+
+  Scenario: A burst over a full fleet with mixed sizes serves urgent work in time
+    Twice the room is asked for at once, by urgent, heavy and small jobs, while one
+    worker is slow to free itself.
+    Given an engine with 3 racks of 4 workers
+    When heavy and small jobs for twice the room arrive, and an urgent gang each second
+    Then 9 in 10 urgent gangs begin within 1 s
+    And all jobs end at last
--- a/src/firladder/_internal/engine/placement.py
+++ b/src/firladder/_internal/engine/placement.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import math
 from collections.abc import Callable, Collection, Iterable, Sequence
 
 from ..models.workload import Resources, Step
@@ -11,7 +12,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Candidate:
-    """A worker that may get tasks, with what is free there in this pass."""
+    """A worker that may get tasks, with what is free there in this pass.
+
+    ``open_for_s`` is for how long it may be used before it is needed for a gang
+    that waits; ``slow`` is how many times as long a task takes there.
+    """
 
     worker_id: str
     rack: str
@@ -19,6 +24,22 @@
     capacity: Resources
     free: Resources
     slow: float = 1.0
+    open_for_s: float = math.inf
+
+
+def count_fits(candidate: Candidate, need: Resources) -> int:
+    """Return how many like tasks an empty worker holds."""
+    capacity = candidate.capacity
+    parts = [
+        have // want
+        for have, want in (
+            (capacity.cpu_milli, need.cpu_milli),
+            (capacity.memory_mb, need.memory_mb),
+            (capacity.accelerators, need.accelerators),
+        )
+        if want
+    ]
+    return min(parts, default=1)
 
 
 def rank_fit(candidate: Candidate, need: Resources) -> tuple[float, int, int, str]:
@@ -38,18 +59,34 @@
 
 
 def list_suitable(
-    step: Step, candidates: Iterable[Candidate], avoided: Collection[str]
+    step: Step,
+    candidates: Iterable[Candidate],
+    avoided: Collection[str],
+    *,
+    takes_s: float = 0.0,
 ) -> list[Candidate]:
-    """Return the workers that the step's label and its past failures allow."""
+    """Return the workers that the step may use for ``takes_s`` seconds.
+
+    Its label, its past failures, and gangs that wait for a worker rule some out.
+    """
     return [
         c
         for c in candidates
         if (not step.label or step.label in c.labels)
         and c.worker_id not in avoided
+        and takes_s <= c.open_for_s
         and c.capacity.covers(step.need)
     ]
 
 
+def fits_one_rack(step: Step, count: int, candidates: Sequence[Candidate]) -> bool:
+    """Tell whether some rack could hold all tasks if it were empty."""
+    return any(
+        sum(count_fits(c, step.need) for c in rack) >= count
+        for rack in group_by_rack(candidates)
+    )
+
+
 def group_by_rack(candidates: Sequence[Candidate]) -> list[list[Candidate]]:
     """Return the workers rack by rack."""
     ordered = sorted(candidates, key=lambda c: (c.rack, c.worker_id))
@@ -104,14 +141,15 @@
     avoided: Collection[str] = (),
     taken: dict[str, int] | None = None,
     spread_allowed: bool = False,
+    takes_s: float = 0.0,
 ) -> list[str] | None:
     """Return a worker for each of ``count`` tasks, or None.
 
     A gang that wants one rack gets the rack that it fills best. Spread over
     racks it would take several times as long, and hold its accelerators all
-    that while; only ``spread_allowed`` lets it.
+    that while; only ``spread_allowed``, or a gang larger than any rack, lets it.
     """
-    suitable = list_suitable(step, candidates, avoided)
+    suitable = list_suitable(step, candidates, avoided, takes_s=takes_s)
     held = taken or {}
     if step.rack:
         near = [c for c in suitable if c.rack == step.rack]
@@ -126,6 +164,6 @@
         ]
         if options:
             return min(options)[1]
-        if not spread_allowed:
+        if not spread_allowed and fits_one_rack(step, count, candidates):
             return None
     return assign_tasks(step, count, suitable, held)
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -3,10 +3,16 @@
 import dataclasses
 from collections.abc import Iterator, Sequence
 
-from ..models.workload import Queue, Resources
+from ..models.workload import Queue
 from .core import Core
-from .placement import Candidate, group_by_rack, list_suitable, place_unit
-from .preemption import EvictionPlanner
+from .placement import (
+    Candidate,
+    count_fits,
+    group_by_rack,
+    list_suitable,
+    place_unit,
+)
+from .preemption import ACCELERATOR_CORES, Eviction, EvictionPlanner
 from .state import Job, Phase, Unit, UnitState, Worker
 
 EVICTION_S = 1.5
@@ -18,8 +24,21 @@
 smaller work, so that a steady stream of it does not starve the gang; more than
 a few would leave accelerators idle."""
 
+LOSS_FOR_WORK = 4.0
+"""Core-seconds of lower work that may be lost for each core-second of urgent work
+beyond its organisation's guarantee. Urgent work in time is worth several times
+what a core-second costs; beyond this, a large gang that has just begun is thrown
+away for a small job, and is late itself. Within the guarantee nothing bounds it:
+those accelerators were only lent."""
+
+VERY_LATE = 4.0
+"""Multiples of its objective after which late urgent work goes first again;
+three times the objective is still of some use to whoever waits."""
+
 SPREAD_AFTER = 0.6
-"""Share of the urgent objective after which an urgent gang takes any racks."""
+"""Share of the time within which guaranteed work must begin, after which such a
+gang takes any racks. It then takes several times as long, and keeps its
+accelerators from others all that while."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,7 +69,9 @@
         self._queues = {q.name: q for q in core.configuration.queues}
         self.next_due_s = None
         candidates = self._list_candidates(now)
-        waiting = sorted(self._list_waiting(now, wall), key=self._rank)
+        waiting = sorted(
+            self._list_waiting(now, wall), key=lambda unit: self._rank(unit, wall)
+        )
         self._hold_claims(waiting, candidates, now)
         planned = 0
         blocked: set[tuple[str, int, int]] = set()
@@ -149,16 +170,33 @@
             return job.accepted.pool
         return "" if queue.needs_advice else queue.pool
 
-    def _rank(self, unit: Unit) -> tuple[float, ...]:
+    def _rank(self, unit: Unit, wall: float) -> tuple[float, ...]:
         accepted = unit.job.accepted
         return (
             accepted.priority,
+            self._is_late(unit, wall),
             accepted.accepted_at_s,
             unit.occurrence,
             unit.step_index,
             unit.indices[0],
         )
 
+    def _is_late(self, unit: Unit, wall: float) -> bool:
+        """Tell whether urgent work can no longer be in time.
+
+        Answers a burst of urgent jobs beyond the room: in the order of arrival
+        each would wait behind those that are late already, and all would be late.
+        Late work follows, in its order; very late work goes first again, so that
+        nothing waits for ever.
+        """
+        accepted = unit.job.accepted
+        if accepted.priority > 0:
+            return False
+        takes_s = self._estimate_run(unit)
+        objective_s = accepted.stretch * takes_s + accepted.slo_s
+        age_s = wall - accepted.accepted_at_s
+        return objective_s < age_s + takes_s and age_s < VERY_LATE * objective_s
+
     def _hold_claims(
         self,
         waiting: Sequence[Unit],
@@ -187,9 +225,6 @@
         # The claim's own room was taken off before; what is left below zero is
         # room that stopped work has not given back yet.
         for worker_id in set(claim.workers):
-            if worker_id not in by_id:
-                # Kept for a gang that came before in this pass.
-                return 0
             left = by_id[worker_id].free
             if min(left.cpu_milli, left.memory_mb, left.accelerators) < 0:
                 return 0
@@ -200,17 +235,22 @@
     def _place(
         self, unit: Unit, pool: Sequence[Candidate], now: float
     ) -> list[str] | None:
-        urgent = unit.job.accepted.priority == 0
-        waited = now - unit.ready_at
         return place_unit(
             unit.step,
             len(unit.indices),
             pool,
             avoided=self._list_avoided(unit, pool),
             taken=self._count_taken(unit),
-            spread_allowed=urgent and waited > self._reclaim_s * SPREAD_AFTER,
+            spread_allowed=self._may_spread(unit, now),
+            takes_s=self._estimate_run(unit),
         )
 
+    def _may_spread(self, unit: Unit, now: float) -> bool:
+        waited = now - unit.ready_at
+        urgent = unit.job.accepted.priority == 0
+        late = waited > self._reclaim_s * SPREAD_AFTER
+        return urgent and late and self._is_guaranteed(unit)
+
     def _list_avoided(self, unit: Unit, pool: Sequence[Candidate]) -> set[str]:
         """Return where the unit failed before, unless nothing else is left."""
         usable = list_suitable(unit.step, pool, unit.avoided)
@@ -236,11 +276,13 @@
     def _make_room(self, unit: Unit, pool: list[Candidate], now: float) -> bool:
         planner = EvictionPlanner(candidates=pool, workers=self._core.workers, now=now)
         avoided = self._list_avoided(unit, pool)
-        found = planner.plan(unit, avoided=avoided, spread_allowed=False)
-        if found is None:
-            found = planner.plan(unit, avoided=avoided, spread_allowed=True)
+        found = planner.plan(
+            unit, avoided=avoided, spread_allowed=self._may_spread(unit, now)
+        )
         if found is None:
             return False
+        if not self._is_worth(unit, found):
+            return False
         self._core.note(
             "room made",
             job=unit.job.accepted.job_id,
@@ -255,14 +297,47 @@
             by_id[worker_id].free = by_id[worker_id].free - unit.step.need
         return True
 
+    def _is_worth(self, unit: Unit, found: Eviction) -> bool:
+        if self._is_guaranteed(unit):
+            return True
+        need = unit.step.need
+        cores = need.cpu_milli / 1000 + need.accelerators * ACCELERATOR_CORES
+        work = cores * len(unit.indices) * self._estimate_run(unit)
+        return found.cost <= LOSS_FOR_WORK * work
+
+    def _is_guaranteed(self, unit: Unit) -> bool:
+        """Tell whether the organisation's urgent work is within its guarantee."""
+        name = unit.job.accepted.organisation
+        guaranteed = next(
+            (
+                o.guaranteed_accelerators
+                for o in self._core.configuration.organisations
+                if o.name == name
+            ),
+            0,
+        )
+        needed = sum(
+            max(s.count * s.need.accelerators for s in j.accepted.workload.steps)
+            for j in self._core.jobs.values()
+            if not j.terminal
+            and j.accepted.priority == 0
+            and j.accepted.organisation == name
+        )
+        return needed <= guaranteed
+
     def _reserve(self, unit: Unit, pool: list[Candidate], now: float) -> bool:
-        """Keep the workers that the gang can have soonest from smaller work."""
+        """Keep the workers that the gang can have soonest from longer work.
+
+        Answers a steady stream of small tasks beside a large gang: each takes the
+        room that one before it leaves, and the gang would wait for ever. Tasks
+        that end before the gang can begin still run there.
+        """
         step = unit.step
         suitable = list_suitable(step, pool, unit.avoided)
         groups = group_by_rack(suitable) if step.one_rack else [suitable]
         best: tuple[float, list[Candidate]] | None = None
         for group in groups:
-            capacity = sum(_count_fits(c, step.need) for c in group)
+            capacity = sum(count_fits(c, step.need) for c in group)
             if capacity < len(unit.indices):
                 continue
             frees = sorted(
@@ -274,7 +349,7 @@
             at = 0.0
             for free_at, candidate in frees:
                 chosen.append(candidate)
-                room += _count_fits(candidate, step.need)
+                room += count_fits(candidate, step.need)
                 at = free_at
                 if room >= len(unit.indices):
                     break
@@ -282,8 +357,8 @@
                 best = (at, chosen)
         if best is None:
             return False
-        kept = {c.worker_id for c in best[1]}
-        pool[:] = [c for c in pool if c.worker_id not in kept]
+        for candidate in best[1]:
+            candidate.open_for_s = min(candidate.open_for_s, best[0])
         return True
 
     def _estimate_free(self, candidate: Candidate, now: float) -> float:
@@ -294,11 +369,15 @@
             default=0.0,
         )
 
+    def _estimate_run(self, unit: Unit) -> float:
+        """Return how long a run takes; declared times are far off at times."""
+        key = (unit.job.accepted.queue, unit.step_index)
+        return self._core.runtimes.get(key, unit.step.estimate_s)
+
     def _estimate_left(self, unit: Unit | None, now: float) -> float:
         if unit is None:
             return 0.5
-        key = (unit.job.accepted.queue, unit.step_index)
-        expected = self._core.runtimes.get(key, unit.step.estimate_s)
+        expected = self._estimate_run(unit)
         active = [p for p in unit.placements.values() if p.phase is Phase.ACTIVE]
         if not active:
             return expected
@@ -309,17 +388,3 @@
             total = max(since, 0.1) * 100 / percent
             return max(0.0, total - elapsed)
         return max(0.2, expected - elapsed)
-
-
-def _count_fits(candidate: Candidate, need: Resources) -> int:
-    capacity = candidate.capacity
-    parts = [
-        have // want
-        for have, want in (
-            (capacity.cpu_milli, need.cpu_milli),
-            (capacity.memory_mb, need.memory_mb),
-            (capacity.accelerators, need.accelerators),
-        )
-        if want
-    ]
-    return min(parts, default=1)
--- a/src/firladder/_internal/engine/preemption.py
+++ b/src/firladder/_internal/engine/preemption.py
@@ -4,7 +4,7 @@
 from collections.abc import Collection, Iterable, Sequence
 
 from ..models.workload import Resources
-from .placement import Candidate, group_by_rack, list_suitable
+from .placement import Candidate, fits_one_rack, group_by_rack, list_suitable
 from .state import Phase, Unit, Worker
 
 ACCELERATOR_CORES = 8.0
@@ -84,7 +84,9 @@
         if step.rack and not spread_allowed:
             suitable = [c for c in suitable if c.rack == step.rack]
         pools: Iterable[list[Candidate]] = [suitable]
-        if step.one_rack and len(unit.indices) > 1 and not spread_allowed:
+        count = len(unit.indices)
+        one_rack = step.one_rack and count > 1 and not spread_allowed
+        if one_rack and fits_one_rack(step, count, suitable):
             pools = group_by_rack(suitable)
         plans = (self._fill(unit, pool) for pool in pools)
         return min(filter(None, plans), key=lambda p: p.cost, default=None)
