Soak real processes with overlapping faults, and check the promises meanwhile

Change: standins.soak starts nodes over the platform's stand-ins, a proxy before the store (a link a node) and before each worker, and plays a seeded schedule of overlapping faults while clients submit, repeat, ask and cancel.

--- /dev/null
+++ b/features/platform_soak.feature
@@ -0,0 +1,14 @@
+Feature: Promises hold while everything misbehaves
+
+  Scenario Outline: A seeded soak of overlapping faults breaks no promise
+    Nodes are killed, stopped, frozen and reloaded; their ways to the store and to
+    workers are delayed, silent, cut one way or reset; the store and the workers lose
+    or delay what they do. Clients keep their connections and repeat what is unknown.
+    A user would notice a lost, doubled or falsely refused job.
+    When the soak plays seed <seed> for 8 s
+    Then no promise was broken
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
--- /dev/null
+++ b/standins/proxy.py
@@ -0,0 +1,135 @@
+"""A TCP proxy on loopback whose links can be made to misbehave."""
+
+import asyncio
+import contextlib
+import enum
+import threading
+from typing import Any
+
+from firladder._internal.utils.addresses import split_address
+
+CHUNK = 65536
+POLL_S = 0.02
+
+
+class Mode(enum.Enum):
+    """What a link does with bytes.
+
+    SILENT holds them back both ways, ONE_WAY only those of the answers; both let
+    them through when the mode changes. HUSHED drops what open connections carry
+    for good, without a reset, while new ones work.
+    """
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENT = "silent"
+    ONE_WAY = "one_way"
+    HUSHED = "hushed"
+
+
+class Link:
+    """One listener that passes connections on to one address."""
+
+    def __init__(self, listen: str, forward: str) -> None:
+        """Pass connections on unharmed."""
+        self.listen = listen
+        self.forward = forward
+        self.mode = Mode.PASS
+        self.delay_s = 0.0
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.hushed: set[int] = set()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Carry one connection to its end."""
+        host, port = split_address(self.forward)
+        try:
+            there_reader, there_writer = await asyncio.open_connection(host, port)
+        except OSError:
+            writer.close()
+            return
+        pair = (writer, there_writer)
+        self.writers.update(pair)
+        await asyncio.gather(
+            self._pump(reader, there_writer, id(writer), answers=False),
+            self._pump(there_reader, writer, id(writer), answers=True),
+        )
+        self.writers.difference_update(pair)
+        self.hushed.discard(id(writer))
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        connection: int,
+        *,
+        answers: bool,
+    ) -> None:
+        try:
+            while data := await reader.read(CHUNK):
+                if self.mode is Mode.DELAY:
+                    await asyncio.sleep(self.delay_s)
+                while self.mode is Mode.SILENT or (
+                    answers and self.mode is Mode.ONE_WAY
+                ):
+                    await asyncio.sleep(POLL_S)
+                if connection in self.hushed:
+                    continue
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+    def hush(self) -> None:
+        """Let the open connections fall silent for good."""
+        self.hushed.update(id(writer) for writer in self.writers)
+
+    def reset(self) -> None:
+        """Abort the open connections."""
+        for writer in tuple(self.writers):
+            transport: Any = writer.transport
+            with contextlib.suppress(OSError):
+                transport.abort()
+
+
+class Proxy:
+    """All links of a run, in a thread with a loop of its own."""
+
+    def __init__(self) -> None:
+        """Start without links."""
+        self.links: dict[str, Link] = {}
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._thread.start()
+
+    def add(self, name: str, listen: str, forward: str) -> Link:
+        """Open a link."""
+        link = self.links[name] = Link(listen, forward)
+        host, port = split_address(listen)
+        start = asyncio.start_server(link.serve, host, port)
+        asyncio.run_coroutine_threadsafe(start, self._loop).result(5)
+        return link
+
+    def set_mode(self, name: str, mode: Mode, *, delay_s: float = 0.0) -> None:
+        """Change what a link does from now on."""
+        link = self.links[name]
+
+        def change() -> None:
+            if mode is Mode.HUSHED:
+                link.hush()
+                return
+            link.mode, link.delay_s = mode, delay_s
+
+        self._loop.call_soon_threadsafe(change)
+
+    def reset(self, name: str) -> None:
+        """Abort the open connections of a link."""
+        self._loop.call_soon_threadsafe(self.links[name].reset)
+
+    def close(self) -> None:
+        """Stop passing anything on."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(2)
--- /dev/null
+++ b/standins/soak.py
@@ -0,0 +1,421 @@
+"""A randomised soak: real processes, faults from outside, promises checked.
+
+    python -m standins.soak --seed 7 --seconds 20
+
+Nodes run as processes over the platform's stand-ins; a proxy stands before the
+store (a link for each node) and before each worker. A seeded schedule injects
+overlapping faults while clients submit, repeat, ask and cancel over connections
+that they keep. What is checked is what callers and workers see.
+"""
+
+import argparse
+import dataclasses
+import http.client
+import itertools
+import json
+import random
+import shutil
+import signal
+import sys
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from .platform_site import KEY, PlatformSite
+from .proxy import Mode, Proxy
+from .site import call, wait_for
+
+SETTLE_S = 60.0
+"""Seconds after the last fault in which all accepted jobs must have ended: the
+longest lease, what a leader goes on without the store, late orders, and the work."""
+
+ANSWER_S = 10.0
+CLIENTS = 4
+FAULT_GAP_S = 0.6
+"""Mean seconds between two faults; each lasts some seconds, so that they overlap."""
+
+
+@dataclasses.dataclass
+class Submission:
+    """A job as its client knows it."""
+
+    job_id: str
+    tasks: int
+    accepted: bool = False
+    refused: bool = False
+    uncertain: bool = False
+    cancelled: bool = False
+    shown: str = ""
+
+
+class Client(threading.Thread):
+    """Submits jobs one after the other over a connection that it keeps."""
+
+    def __init__(self, site: PlatformSite, rng: random.Random, number: int) -> None:
+        """Prepare a client of its own stream of jobs."""
+        super().__init__(daemon=True)
+        self.site = site
+        self.rng = rng
+        self.numbers = itertools.count(number << 32)
+        self.stop = threading.Event()
+        self.jobs: list[Submission] = []
+        self.problems: list[str] = []
+        self.answers: Counter[str] = Counter()
+        self._connections: dict[int, http.client.HTTPConnection] = {}
+
+    def run(self) -> None:
+        """Submit, ask and cancel until told to stop."""
+        while not self.stop.is_set():
+            self._submit()
+            for job in self.rng.sample(self.jobs, min(3, len(self.jobs))):
+                self._ask(job)
+            if self.rng.random() < 0.15:
+                self._cancel(self.rng.choice(self.jobs))
+            time.sleep(self.rng.uniform(0.05, 0.4))
+
+    def _submit(self) -> None:
+        count = self.rng.randint(1, 4)
+        gang = self.rng.random() < 0.4
+        # A gang of four whole workers would fit nowhere, and rightly wait.
+        gpu = self.rng.choice([1, 2, 4] if gang else [1, 2, 4, 8])
+        job = Submission(f"{next(self.numbers):016x}", count)
+        self.jobs.append(job)
+        step = {"count": count, "cpu": 500, "mem_mb": 100, "gpu": gpu, "gang": gang}
+        takes = self.rng.choice([0.2, 0.5, 1.5, 3.0])
+        body = {"spec": f"{takes} {gpu}", "steps": [step]}
+        for _ in range(4):
+            status = self._call("POST", job, body)
+            if status == 200:
+                job.accepted = True
+                if self.rng.random() < 0.1:
+                    self._call("POST", job, body)
+                return
+            if status in (429, 503):
+                job.refused = not job.uncertain
+                time.sleep(0.3)
+            else:
+                job.uncertain = True
+                job.refused = False
+
+    def _ask(self, job: Submission) -> None:
+        status = self._call("GET", job)
+        if status == 410 and job.accepted:
+            self.problems.append(f"{job.job_id} was accepted and is answered 410")
+        if status != 200:
+            return
+        state = self.last["state"]
+        ended = ("completed", "failed", "cancelled")
+        if job.shown in ended and state != job.shown:
+            self.problems.append(f"{job.job_id} was {job.shown}, is now {state}")
+        if state == "cancelled" and not job.cancelled:
+            self.problems.append(f"{job.job_id} is shown as cancelled, and is not")
+        job.shown = state
+        if state == "completed":
+            done = self.site.read_ledger()["done"]
+            found = sum(t.startswith(job.job_id) for t in done)
+            if found < job.tasks:
+                self.problems.append(f"{job.job_id} completed with {found} done")
+
+    def _cancel(self, job: Submission) -> None:
+        # Whatever the answer, the cancellation may have been stored.
+        job.cancelled = True
+        self._call("DELETE", job)
+
+    def _call(self, method: str, job: Submission, body: Any = None) -> int:
+        node = self.rng.randrange(len(self.site.ips))
+        kept = self._connections.get(node)
+        if kept is None:
+            ip = self.site.ips[node]
+            kept = http.client.HTTPConnection(ip, self.site.front, timeout=4)
+            self._connections[node] = kept
+        headers = {"Host": "jobs.example", "Authorization": f"Bearer {KEY}"}
+        headers["X-Deadline-Ms"] = "2500"
+        data = None if body is None else json.dumps(body)
+        began = time.monotonic()
+        try:
+            kept.request(method, f"/q1/{job.job_id}", body=data, headers=headers)
+            response = kept.getresponse()
+            raw = response.read()
+        except (OSError, http.client.HTTPException):
+            kept.close()
+            del self._connections[node]
+            self.answers[f"{method} none"] += 1
+            return 0
+        self.last = json.loads(raw) if raw else {}
+        self.answers[f"{method} {response.status}"] += 1
+        if time.monotonic() - began > ANSWER_S:
+            self.problems.append(f"{method} answered after {ANSWER_S} s")
+        return response.status
+
+
+Fault = Callable[["Soak"], Callable[[], None]]
+
+FAULTS: dict[str, Fault] = {}
+
+
+def fault(function: Fault) -> Fault:
+    """Register a fault: it begins, and returns what ends it."""
+    FAULTS[function.__name__] = function
+    return function
+
+
+class Soak:
+    """One seeded run."""
+
+    def __init__(self, seed: int, *, nodes: int = 3, workers: int = 3) -> None:
+        """Start the processes, unharmed."""
+        self.rng = random.Random(seed)
+        self.proxy = Proxy()
+        self.site = PlatformSite(nodes=nodes, workers=workers, seed=seed)
+        self.site.route_through(self.proxy)
+        self.site.start()
+        self.down: set[int] = set()
+        self.log: list[str] = []
+        self.clients = [
+            Client(self.site, random.Random(seed * 100 + n), n + 1)
+            for n in range(CLIENTS)
+        ]
+
+    def run(self, seconds: float) -> list[str]:
+        """Inject faults for a while; return the promises that were broken."""
+        for client in self.clients:
+            client.start()
+        began = time.monotonic()
+        pending: list[tuple[float, Callable[[], None]]] = []
+        while (now := time.monotonic() - began) < seconds:
+            for due, end in [p for p in pending if p[0] <= now]:
+                pending.remove((due, end))
+                end()
+            name = self.rng.choice(sorted(FAULTS))
+            self.log.append(f"{now:.2f} {name}")
+            pending.append((now + self.rng.uniform(0.5, 4.0), FAULTS[name](self)))
+            time.sleep(self.rng.expovariate(1 / FAULT_GAP_S))
+        for _, end in pending:
+            end()
+        for client in self.clients:
+            client.stop.set()
+        for client in self.clients:
+            client.join(30)
+        return self._settle()
+
+    def _settle(self) -> list[str]:
+        jobs = [job for client in self.clients for job in client.jobs]
+        problems = [p for client in self.clients for p in client.problems]
+        for ip in self.site.ips:
+            wait_for(lambda ip=ip: self.site.is_ready(ip), 40, f"{ip} ready")
+        end = time.monotonic() + SETTLE_S
+        waiting = [job for job in jobs if job.accepted]
+        while waiting and time.monotonic() < end:
+            waiting = [j for j in waiting if not self._has_ended(j)]
+            time.sleep(0.3)
+        problems += [f"{j.job_id} has not ended" for j in waiting]
+        ledger = self.site.read_ledger()
+        problems += ledger["problems"]
+        started = {task.split(".")[0] for task, _, _ in ledger["starts"]}
+        problems += [
+            f"{j.job_id} was refused and has run"
+            for j in jobs
+            if j.refused and not j.accepted and j.job_id in started
+        ]
+        running = {t.split(".")[0] for ts in ledger["running"].values() for t in ts}
+        problems += [
+            f"{j.job_id} was cancelled and runs"
+            for j in jobs
+            if j.shown == "cancelled" and j.job_id in running
+        ]
+        return problems
+
+    def _has_ended(self, job: Submission) -> bool:
+        status, answer = self.site.ask("GET", f"/q1/{job.job_id}")
+        if status == 200:
+            job.shown = answer["state"]
+        return status == 200 and job.shown in ("completed", "failed", "cancelled")
+
+    def close(self, *, keep: bool) -> None:
+        """End every process that this run started."""
+        for number in self.down:
+            self.site.nodes[number].signal(signal.SIGCONT)
+        self.site.stop()
+        self.proxy.close()
+        if not keep:
+            shutil.rmtree(self.site.directory, ignore_errors=True)
+
+    def choose_link(self, prefix: str) -> str:
+        """Return the name of a link."""
+        names = [n for n in sorted(self.proxy.links) if n.startswith(prefix)]
+        return self.rng.choice(names)
+
+    def choose_node(self) -> int | None:
+        """Return a node that no signal holds at the moment."""
+        up = [n for n in range(len(self.site.ips)) if n not in self.down]
+        return self.rng.choice(up) if len(up) > 1 else None
+
+
+def _misbehave(soak: Soak, prefix: str) -> Callable[[], None]:
+    name = soak.choose_link(prefix)
+    mode = soak.rng.choice(list(Mode))
+    soak.proxy.set_mode(name, mode, delay_s=soak.rng.uniform(0.05, 0.8))
+    return lambda: soak.proxy.set_mode(name, Mode.PASS)
+
+
+@fault
+def harm_store_link(soak: Soak) -> Callable[[], None]:
+    """Let one node's way to the store misbehave."""
+    return _misbehave(soak, "store")
+
+
+@fault
+def harm_worker_link(soak: Soak) -> Callable[[], None]:
+    """Let the way to one worker misbehave."""
+    return _misbehave(soak, "worker")
+
+
+@fault
+def reset_links(soak: Soak) -> Callable[[], None]:
+    """Reset the connections of one link."""
+    soak.proxy.reset(soak.choose_link(""))
+    return lambda: None
+
+
+@fault
+def kill_node(soak: Soak) -> Callable[[], None]:
+    """Kill a node; it is started again."""
+    number = soak.choose_node()
+    if number is None:
+        return lambda: None
+    soak.down.add(number)
+    soak.site.nodes[number].kill()
+    return lambda: _restart(soak, number)
+
+
+@fault
+def stop_node(soak: Soak) -> Callable[[], None]:
+    """Ask a node to leave; it is started again."""
+    number = soak.choose_node()
+    if number is None:
+        return lambda: None
+    soak.down.add(number)
+    soak.site.nodes[number].signal(signal.SIGTERM)
+
+    def restart() -> None:
+        soak.site.nodes[number].process.wait(15)
+        _restart(soak, number)
+
+    return restart
+
+
+def _restart(soak: Soak, number: int) -> None:
+    soak.site.nodes[number].restart()
+    soak.down.discard(number)
+
+
+@fault
+def pause_node(soak: Soak) -> Callable[[], None]:
+    """Freeze a node for a while, leases and all."""
+    number = soak.choose_node()
+    if number is None:
+        return lambda: None
+    soak.down.add(number)
+    soak.site.nodes[number].signal(signal.SIGSTOP)
+
+    def resume() -> None:
+        soak.site.nodes[number].signal(signal.SIGCONT)
+        soak.down.discard(number)
+
+    return resume
+
+
+@fault
+def reload_node(soak: Soak) -> Callable[[], None]:
+    """Tell a node that its settings have changed."""
+    number = soak.choose_node()
+    if number is not None:
+        soak.site.nodes[number].signal(signal.SIGHUP)
+    return lambda: None
+
+
+@fault
+def harm_store(soak: Soak) -> Callable[[], None]:
+    """Let the store itself misbehave for all."""
+    harm = soak.rng.choice(
+        [
+            {"busy": True},
+            {"silent": True},
+            {"lost_share": 0.4},
+            {"lost_share": 0.4, "late_s": 1.5},
+            {"delay_s": 0.25},
+        ]
+    )
+    soak.site.set_store_faults(**harm)
+    return soak.site.set_store_faults
+
+
+@fault
+def drop_history(soak: Soak) -> Callable[[], None]:
+    """Let the store forget its history."""
+    call(soak.site.store, "POST", "/drop-history", {})
+    return lambda: None
+
+
+@fault
+def harm_worker(soak: Soak) -> Callable[[], None]:
+    """Let a worker carry orders out late, reject them or fail its tasks."""
+    number = soak.rng.randrange(len(soak.site.workers))
+    harm = soak.rng.choice(
+        [
+            {"late_share": 0.5, "late_s": soak.rng.uniform(0.7, 4.0)},
+            {"reject": True},
+            {"fail_share": 0.3},
+        ]
+    )
+    soak.site.set_worker_faults(number, **harm)
+    return lambda: soak.site.set_worker_faults(number)
+
+
+@fault
+def change_configuration(soak: Soak) -> Callable[[], None]:
+    """Put a newer configuration in force."""
+    soak.site.configuration["version"] += soak.rng.randint(1, 5)
+    soak.site.configure()
+    return lambda: None
+
+
+def play(seed: int, seconds: float) -> bool:
+    """Play one seed; print what was broken, and tell whether nothing was."""
+    soak = Soak(seed)
+    problems = ["the soak itself did not end"]
+    try:
+        problems = soak.run(seconds)
+    finally:
+        soak.close(keep=bool(problems))
+    jobs = [job for client in soak.clients for job in client.jobs]
+    accepted = sum(job.accepted for job in jobs)
+    answers = sum((client.answers for client in soak.clients), Counter())
+    print(
+        f"soak: seed {seed}, {len(soak.log)} faults, {len(jobs)} jobs, "
+        f"{accepted} accepted, {len(problems)} problems",
+        flush=True,
+    )
+    if problems:
+        print("\n".join(problems[:10]))
+        print(f"faults: {soak.log}\nanswers: {dict(answers)}")
+        print(f"logs: {soak.site.directory}", flush=True)
+    return not problems
+
+
+def main() -> int:
+    """Play the seeds that the arguments name."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=None, help="one seed")
+    parser.add_argument("--seeds", type=int, default=1, help="fresh seeds in a row")
+    parser.add_argument("--seconds", type=float, default=15.0)
+    options = parser.parse_args()
+    first = options.seed if options.seed is not None else int(time.time())
+    played = [play(first + n, options.seconds) for n in range(options.seeds)]
+    return 0 if all(played) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
