Let the stand-ins' gangs work and end together

The stand-in's members were independent timers, while on the platform one done end of a gang represents all of its members. Ruled out: the core, which goes by that.

Change: a gang works once all of its members are there and ends as one; a member left alone ends after 3 s.

--- a/standins/platform_workers.py
+++ b/standins/platform_workers.py
@@ -46,15 +46,30 @@
     fail_share: float = 0.0
 
 
+ALONE_S = 3.0
+"""Seconds that a member of a gang waits for the others."""
+
+
 @dataclasses.dataclass
 class Run:
-    """A task at work."""
+    """A task at work, or a member that waits for its gang.
+
+    ``began_at`` is when it was started, ``works_since`` when the last member of
+    its gang had come.
+    """
 
     task: str
     run: int
     began_at: float
     takes_s: float
     accelerators: int = 0
+    members: int = 1
+    works_since: float | None = None
+
+    @property
+    def gang(self) -> tuple[str, int]:
+        """Return what the members of one run of a gang share."""
+        return self.task.rpartition(".")[0], self.run
 
 
 class Ledger:
@@ -81,6 +96,25 @@
         if task in self.done:
             self.problems.append(f"{task} run {run} started after it was done")
 
+    def list_members(self, run: Run) -> list[tuple["Worker", Run]]:
+        """Return the members of a gang's run that are present."""
+        return [
+            (worker, other)
+            for worker in self.workers
+            for other in worker.runs.values()
+            if other.members > 1 and other.gang == run.gang
+        ]
+
+    def begin_work(self, run: Run, now: float) -> None:
+        """Let a task work, or its whole gang once the last member has come."""
+        if run.members == 1:
+            run.works_since = now
+            return
+        members = [other for _, other in self.list_members(run)]
+        if len(members) == run.members:
+            for other in members:
+                other.works_since = now
+
 
 class Worker:
     """One worker."""
@@ -129,15 +163,29 @@
             await asyncio.sleep(0.02)
             now = time.monotonic()
             for key, run in list(self.runs.items()):
+                if key not in self.runs:
+                    continue
                 if self.read_clock() > self.lease_until:
                     await self.end(key, "lapsed")
-                elif now - run.began_at > run.takes_s:
+                elif run.works_since is None:
+                    if now - run.began_at > ALONE_S:
+                        await self.end(key, "alone")
+                elif now - run.works_since > run.takes_s:
                     failed = self.rng.random() < self.faults.fail_share
                     await self.end(key, "failed" if failed else "done")
 
     async def end(self, key: tuple[str, int], how: str) -> None:
-        """List the end of a run."""
-        del self.runs[key]
+        """List the end of a run, and of its gang with it."""
+        ended = self.runs.pop(key)
+        if ended.members > 1:
+            shared = "done" if how == "done" else "broken"
+            for worker, other in self.ledger.list_members(ended):
+                if (other.task, other.run) in worker.runs:
+                    await worker._list_end((other.task, other.run), shared)
+        await self._list_end(key, how)
+
+    async def _list_end(self, key: tuple[str, int], how: str) -> None:
+        self.runs.pop(key, None)
         task, run = key
         self.highest[task] = max(run, self.highest.get(task, 0))
         if how == "done":
@@ -198,10 +246,12 @@
     if run <= worker.highest.get(task, 0):
         return worker.reply(409, reason="old")
     worker.extend(body["deadline_ms"])
-    takes, _, accelerators = body["spec"].partition(" ")
-    held = int(accelerators or 0)
-    worker.ledger.note_start(worker, task, run, held)
-    worker.runs[task, run] = Run(task, run, time.monotonic(), float(takes), held)
+    takes, accelerators, members = [*body["spec"].split(), "0", "1"][:3]
+    begun = Run(task, run, time.monotonic(), float(takes), int(accelerators))
+    begun.members = int(members)
+    worker.ledger.note_start(worker, task, run, begun.accelerators)
+    worker.runs[task, run] = begun
+    worker.ledger.begin_work(begun, time.monotonic())
     return worker.reply()
 
 
@@ -240,12 +290,17 @@
                 await asyncio.wait_for(worker.changed.wait(), body["wait_ms"] / 1000)
     now = time.monotonic()
     running = [
-        [r.task, r.run, "", int(100 * (now - r.began_at) / max(r.takes_s, 0.001))]
-        for r in worker.runs.values()
+        [r.task, r.run, "", _reckon_percent(r, now)] for r in worker.runs.values()
     ]
     return worker.reply(running=running, ended=worker.ended)
 
 
+def _reckon_percent(run: Run, now: float) -> int:
+    if run.works_since is None:
+        return 0
+    return min(99, int(100 * (now - run.works_since) / max(run.takes_s, 0.001)))
+
+
 @routes.route("POST", "/faults")
 async def set_faults(worker: Worker, call: HttpCall) -> HttpReply:
     """Do wrong from now on."""
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -84,7 +84,7 @@
         self.jobs.append(job)
         step = {"count": count, "cpu": 500, "mem_mb": 100, "gpu": gpu, "gang": gang}
         takes = self.rng.choice([0.2, 0.5, 1.5, 3.0])
-        body = {"spec": f"{takes} {gpu}", "steps": [step]}
+        body = {"spec": f"{takes} {gpu} {count if gang else 1}", "steps": [step]}
         for _ in range(4):
             status = self._call("POST", job, body)
             if status == 200:
