--- a/src/firladder/_internal/node/watching.py
+++ b/src/firladder/_internal/node/watching.py
@@ -42,12 +42,14 @@
         self._rng = rng
         self._wait_s = wait_s
         self._revision = start.revision if start is not None else None
+        self._failed = False
 
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
         pause_s = RETRY_S
         while True:
-            if await self._step():
+            self._failed = not await self._step()
+            if not self._failed:
                 pause_s = RETRY_S
                 continue
             await asyncio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
@@ -56,8 +58,13 @@
     async def _step(self) -> bool:
         if self._revision is None:
             return await self._list()
+        # After a failure the first watch does not wait: one that does is not
+        # answered until something changes, and the node would go on for seconds
+        # as one that the store turns away.
         found = await self._store.watch(
-            self._prefix, after=self._revision, wait_s=self._wait_s
+            self._prefix,
+            after=self._revision,
+            wait_s=0.0 if self._failed else self._wait_s,
         )
         if isinstance(found, HistoryLost):
             # What happened in between is lost: only a new listing shows it.
