Let larger VMs lead, and read the records over slow links

Change: a page of a listing may take 6 s; small VMs stand half a second after the others; a leader that has not read the records in 4 s gives the leadership back, and takes twice as long if nobody else takes it.

--- a/features/engine_refusing.feature
+++ b/features/engine_refusing.feature
@@ -17,3 +17,15 @@
     Given a store that is away for 7 s
     When a caller comes at the first moment and obeys each answer, four times at most
     Then its last try meets a store that answers
+
+  Scenario Outline: Small VMs let larger ones lead
+    A VM with a slow link or processor wins the election, keeps its lease, and takes
+    seconds to read the records; nothing is scheduled meanwhile.
+    Then a VM with <cores> cores and <link> Mbit/s stands <delay> s after the others
+
+    Examples:
+      | cores | link   | delay |
+      | 1.07  | 1000.0 | 0.0   |
+      | 2.15  | 200.0  | 0.0   |
+      | 0.52  | 1000.0 | 0.25  |
+      | 0.52  | 10.0   | 0.5   |
--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -92,6 +92,15 @@
     Then both jobs are shown as "completed" within 20 s
     And nothing has run twice
 
+  Scenario: A leader with a slow way to the store reads all records in the end
+    The only node left has a slow link, and the records are large. Each page took
+    longer than an answer was awaited for: the node kept the leadership, read the
+    same page again and again, and nothing was scheduled any more.
+    Given the records have 600 KB more, and node 0 has a slow way to the store
+    When all nodes but node 0 are killed
+    And a client submits a job of 1 task of 0.3 s at node 0
+    Then it is shown as "completed" by node 0 within 30 s
+
   Scenario: Answers of the store are lost, and writes come late
     Given the store loses a third of its answers and writes late
     When clients submit 8 jobs of 1 task of 0.3 s, retrying unknown ones
--- a/features/steps/engine_refusing_steps.py
+++ b/features/steps/engine_refusing_steps.py
@@ -1,5 +1,6 @@
 from behave import given, then, when
 
+from firladder._internal.node.election import choose_delay
 from firladder._internal.node.records import choose_retry_after
 
 HELD_S = 0.7
@@ -32,3 +33,10 @@
 @then("its last try meets a store that answers")
 def check_last(context):
     assert context.last > context.away, context.last
+
+
+@then(
+    "a VM with {cores:f} cores and {link:f} Mbit/s stands {delay:f} s after the others"
+)
+def check_delay(context, cores, link, delay):
+    assert choose_delay(processor_cores=cores, link_mbps=link) == delay
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 
 from standins.platform_site import KEY
+from standins.proxy import Mode, Proxy
 from standins.site import ROOT, wait_for
 
 NUMBERS = itertools.count(int(time.time() * 1000))
@@ -320,6 +321,45 @@
     )
 
 
+@given("the records have {size:d} KB more, and node 0 has a slow way to the store")
+def slow_link(context, size):
+    site = context.platform
+    for number in range(50):
+        site.put(f"firladder/in/j/f{number:015x}", "x" * (size * 1000 // 50 * 3 // 4))
+    proxy = Proxy()
+    context.add_cleanup(proxy.close)
+    listen = f"127.0.9.3:{next(site.spare_ports)}"
+    proxy.add("store", listen, site.store)
+    proxy.set_mode("store", Mode.DELAY, delay_s=0.25)
+    node = site.nodes[0]
+    context.add_cleanup(use_store, site, node, site.store)
+    use_store(site, node, listen)
+
+
+def use_store(site, node, address):
+    lines = node.settings.read_text().splitlines()
+    kept = [x for x in lines if not x.startswith("address")]
+    kept.insert(kept.index("[platform]") + 1, f'address = "{address}"')
+    node.settings.write_text("\n".join(kept) + "\n")
+    before = node.log.read_text().count("settings reloaded")
+    node.signal(signal.SIGHUP)
+    wait_for(
+        lambda: node.log.read_text().count("settings reloaded") > before, 5, "reloaded"
+    )
+
+
+@when("all nodes but node 0 are killed")
+def kill_others(context):
+    for number, node in enumerate(context.platform.nodes[1:], start=1):
+        node.kill()
+        context.add_cleanup(bring_back, context, number)
+
+
+@then('it is shown as "{state}" by node 0 within {seconds:d} s')
+def check_node_zero(context, state, seconds):
+    wait_for(lambda: read_state(context, context.job, 0) == state, seconds, state)
+
+
 @when("the leader is killed")
 def kill_leader(context):
     site = context.platform
--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -40,13 +40,13 @@
 from ..utils.tasks import TaskSet
 from ..utils.tokens import mint_incarnation
 from .configuration import ConfigurationStore
-from .election import Campaign, Leadership, decode_leader
+from .election import Campaign, Leadership, choose_delay, decode_leader
 from .fleet import Fleet
 from .intake import Intake
 from .keys import LEADER
 from .metrics import NodeMetrics
 from .records import Records
-from .term import Term
+from .term import LOAD_S, Term
 from .watching import PrefixWatch
 
 logger = logging.getLogger(__name__)
@@ -64,6 +64,9 @@
 SETTINGS_LOOK_S = 1.0
 """Seconds between looks at the settings file, which may change unannounced."""
 
+GIVE_WAY_S = 1.0
+"""The same after a term in which the records were not read in time."""
+
 CAMPAIGN_PAUSE_S = 0.25
 """Seconds between two tries to become leader while nobody leads."""
 
@@ -93,6 +96,7 @@
         self.metrics = NodeMetrics()
         self.calls: Counter[tuple[str, int]] = Counter()
         self._tasks = TaskSet()
+        self._load_s = LOAD_S
         self._stopping = asyncio.Event()
         self._leader_gone = asyncio.Event()
         self._worker_http = HttpClient(per_host=4)
@@ -277,6 +281,10 @@
             incarnation=self.incarnation,
             clock=self.clock,
             rng=self.rng,
+            delay_s=choose_delay(
+                processor_cores=self.settings.processor_cores,
+                link_mbps=self.settings.link_mbps,
+            ),
         )
         while not self.leaving:
             await self._leader_gone.wait()
@@ -287,7 +295,9 @@
                 await self._serve_term(won)
             elif isinstance(won, Item):
                 self._take_leader(won.value, won.revision)
-            await asyncio.sleep(CAMPAIGN_PAUSE_S)
+            await asyncio.sleep(
+                CAMPAIGN_PAUSE_S if self._load_s == LOAD_S else GIVE_WAY_S
+            )
 
     async def _serve_term(self, leadership: Leadership) -> None:
         term = Term(
@@ -298,6 +308,7 @@
             clock=self.clock,
             rng=self.rng,
             timeline=self.timeline,
+            load_s=self._load_s,
         )
         self.term = term
         self.timeline.record(Event.TERM_BEGUN, token=leadership.token)
@@ -305,6 +316,8 @@
         term.adopt_configuration(self.configuration.current)
         reason = await term.run()
         self.term = None
+        # Where no other node takes over, this one must have the time it needs.
+        self._load_s = 2 * self._load_s if term.too_slow else LOAD_S
         self.fleet.forget_leader(leadership.token)
         self.timeline.record(Event.TERM_ENDED, token=leadership.token, reason=reason)
 
--- a/src/firladder/_internal/node/election.py
+++ b/src/firladder/_internal/node/election.py
@@ -28,6 +28,27 @@
 have spent calls on it."""
 
 
+SMALL_LINK_MBPS = 50.0
+"""Below it a VM takes seconds to read the records of a busy fleet."""
+
+SMALL_PROCESSOR_CORES = 0.8
+"""Below it a VM is slow to schedule for some two hundred workers."""
+
+SMALL_DELAY_S = 0.25
+"""Seconds for which a small VM lets others go first, for each of the two: longer
+than their jitter and their calls, shorter than what callers would notice."""
+
+
+def choose_delay(*, processor_cores: float, link_mbps: float) -> float:
+    """Return for how long a VM lets larger ones go first, in seconds.
+
+    A leader on a small VM keeps its lease and yet cannot read the records in time,
+    so that nothing is scheduled although somebody leads.
+    """
+    small = (link_mbps < SMALL_LINK_MBPS) + (processor_cores < SMALL_PROCESSOR_CORES)
+    return small * SMALL_DELAY_S
+
+
 class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
     """The value of the leader's key."""
 
@@ -92,8 +113,10 @@
         incarnation: str,
         clock: Clock,
         rng: random.Random,
+        delay_s: float = 0.0,
     ) -> None:
-        """Campaign for the process ``incarnation`` on the VM at ``ip``."""
+        """Campaign for ``incarnation`` at ``ip``, ``delay_s`` after the others."""
+        self._delay_s = delay_s
         self._store = store
         self._ip = ip
         self._incarnation = incarnation
@@ -102,7 +125,7 @@
 
     async def try_once(self) -> Leadership | Item | None:
         """Return the leadership, or the key of who has it, or None for neither."""
-        await asyncio.sleep(self._rng.uniform(0, JITTER_S))
+        await asyncio.sleep(self._delay_s + self._rng.uniform(0, JITTER_S))
         held = await self._store.read_item(LEADER)
         if isinstance(held, Item):
             return await self._judge(held)
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -38,6 +38,10 @@
 """Seconds for which events are gathered before a pass; the tasks of a gang end
 within a few milliseconds of each other."""
 
+LOAD_S = 4.0
+"""Seconds for reading the records; a leader that takes longer gives way to a node
+with a better way to the store, for nothing is scheduled meanwhile."""
+
 CLEAN_S = 15.0
 """Seconds between two searches for jobs to forget."""
 
@@ -58,8 +62,11 @@
         clock: Clock,
         rng: random.Random,
         timeline: Timeline,
+        load_s: float = LOAD_S,
     ) -> None:
         """Lead under ``leadership``; nothing is read or sent yet."""
+        self._load_s = load_s
+        self.too_slow = False
         self.core = Core(hold_s=settings.max_hold_s, note=self._note)
         self.calls = calls
         self.clock = clock
@@ -115,14 +122,26 @@
         """Lead until the term ends; return why it did."""
         keep = self._tasks.spawn(self.leadership.keep(), name="renew-leadership")
         keep.add_done_callback(lambda _: self.step_down("the lease has ended"))
+        load = self._tasks.spawn(self._load_and_start(), name="load")
         try:
-            if await self._load():
-                self._start_loops()
+            await asyncio.wait(
+                (load, self._ended),
+                timeout=self._load_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not self.ready and not self._ended.done():
+                self.too_slow = True
+                self.step_down("the records were not read in time")
+                await self.leadership.resign()
             return await self._ended
         finally:
             self.ready = False
             await self._tasks.close()
 
+    async def _load_and_start(self) -> None:
+        if await self._load():
+            self._start_loops()
+
     async def close(self) -> None:
         """End the term and give the leadership back."""
         self.step_down("this process stops")
--- a/src/firladder/_internal/platform/settings.py
+++ b/src/firladder/_internal/platform/settings.py
@@ -34,6 +34,13 @@
     reclaim_ms: float = 2700
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    cpu_share: float = 1.0
+    # How many times as fast as the share alone the VM's processor is.
+    cores: float = 1.0
+    link_mbps: float = 1000.0
+
+
 class _Store(msgspec.Struct):
     address: str
     writes_per_s: float = 400
@@ -51,6 +58,7 @@
     seeds: list[str] = []
     heartbeat_ms: float = 1500
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,7 +66,8 @@
     """The settings of an entry VM's process; times in seconds.
 
     ``peers`` are IP numbers of VMs that may know the fleet; ``peer_port`` is
-    where processes of the fleet listen for each other.
+    where processes of the fleet listen for each other. ``processor_cores`` and
+    ``link_mbps`` are what the VM has of both.
     """
 
     vm: str
@@ -81,6 +90,8 @@
     far_factor: float
     restore_s: float
     reclaim_s: float
+    processor_cores: float
+    link_mbps: float
 
 
 def read_node_settings(path: str) -> NodeSettings:
@@ -118,4 +129,6 @@
         far_factor=bounds.far_factor,
         restore_s=bounds.restore_ms / 1000,
         reclaim_s=bounds.reclaim_ms / 1000,
+        processor_cores=wire.limits.cpu_share * wire.limits.cores,
+        link_mbps=wire.limits.link_mbps,
     )
--- a/src/firladder/_internal/platform/store.py
+++ b/src/firladder/_internal/platform/store.py
@@ -28,6 +28,10 @@
 CALL_TIMEOUT_S = 0.8
 """Seconds for an answer; the store takes 4 ms, and 240 ms when it is slow."""
 
+RANGE_TIMEOUT_S = 6.0
+"""Seconds for a page of a listing: a page may have a megabyte, which takes 1.7 s
+over the slowest link of 5 Mbit/s, and shares that link with all else."""
+
 WATCH_SLACK_S = 0.6
 """Seconds beyond a watch's own waiting time before its connection counts as
 silent; a slow store answers within 240 ms."""
@@ -173,7 +177,9 @@
         revision: int | None = None
         query = {"prefix": prefix}
         while True:
-            answer = await self._call("GET", "/-/kv-range", query)
+            answer = await self._call(
+                "GET", "/-/kv-range", query, timeout_s=RANGE_TIMEOUT_S
+            )
             if not isinstance(answer, HttpAnswer):
                 return answer
             page = self._decode(answer, _Range)
