Split the core, the planner and the daemon by job; never shut a whole pool

Change: runs, reports and core; estimates and reservations beside the planner; answers to peers and operations beside the daemon; a pool of which more than a third is in quarantine is used as a whole.

Before: the scenario with six failing workers of six fails (nothing placed). After: 64 of 64 scenarios of engine and platform.

--- a/features/engine_policy.feature
+++ b/features/engine_policy.feature
@@ -92,6 +92,18 @@
       | loses | 5.0    | moved     |
       | loses | 7.5    | not moved |
 
+  Scenario Outline: Workers that fail everything get no work, but a pool is never shut
+    Some workers fail all that they start: jobs sent there use up their attempts. When
+    most workers fail, the jobs are at fault, and holding all back would serve nobody.
+    Given an engine with 1 rack of 6 workers
+    When 2 jobs have failed on each of <bad> workers
+    Then a new job of each worker's size is placed on <used> workers
+
+    Examples:
+      | bad | used |
+      | 2   | 4    |
+      | 6   | 6    |
+
   Scenario: A burst over a full fleet with mixed sizes serves urgent work in time
     Twice the room is asked for at once, by urgent, heavy and small jobs, while one
     worker is slow to free itself.
--- a/features/steps/engine_policy_steps.py
+++ b/features/steps/engine_policy_steps.py
@@ -4,6 +4,7 @@
 from behave import given, then, when
 
 from features.support.engine_world import EngineWorld, make_job, make_step
+from firladder._internal.engine import health
 from firladder._internal.engine.state import Phase, UnitState
 from firladder._internal.models.workload import Organisation
 
@@ -237,6 +238,21 @@
     assert engine.find_placement("leaving").worker_id != first
 
 
+@when("2 jobs have failed on each of {bad:d} workers")
+def fail_jobs(context, bad):
+    engine = context.engine
+    for worker in list(engine.core.workers.values())[:bad]:
+        for number in range(2):
+            health.blame_worker(worker, f"failed-{number}", engine.now)
+
+
+@then("a new job of each worker's size is placed on {used:d} workers")
+def check_used(context, used):
+    for number in range(6):
+        submit(context, f"new-{number}", make_step(), priority=1)
+    assert len({p.worker_id for p in start_now(context)}) == used
+
+
 class Clockwork:
     """Plays an engine in steps of time; tasks end after the time they take."""
 
--- /dev/null
+++ b/src/firladder/_internal/engine/estimating.py
@@ -0,0 +1,77 @@
+"""How long work takes and lasts, and which workers a waiting gang can have."""
+
+from .core import Core
+from .placement import Candidate, count_fits, group_by_rack, list_suitable
+from .state import Phase, Unit
+
+
+class Estimates:
+    """Expected times, learned from what ended; declared times are far off."""
+
+    def __init__(self, core: Core) -> None:
+        """Learn from ``core``."""
+        self._core = core
+
+    def estimate_run(self, unit: Unit) -> float:
+        """Return how long a run takes; declared times are far off at times."""
+        key = (unit.job.accepted.queue, unit.step_index)
+        return self._core.runtimes.get(key, unit.step.estimate_s)
+
+    def estimate_left(self, unit: Unit | None, now: float) -> float:
+        if unit is None:
+            return 0.5
+        expected = self.estimate_run(unit)
+        active = [p for p in unit.placements.values() if p.phase is Phase.ACTIVE]
+        if not active:
+            return expected
+        elapsed = now - max(p.active_at for p in active)
+        percent = max(p.percent for p in active)
+        if percent >= 20:
+            since = max(p.moved_at for p in active) - max(p.active_at for p in active)
+            total = max(since, 0.1) * 100 / percent
+            return max(0.0, total - elapsed)
+        return max(0.2, expected - elapsed)
+
+    def estimate_free(self, candidate: Candidate, now: float) -> float:
+        """Return in how many seconds all work on a worker is likely to be done."""
+        worker = self._core.workers[candidate.worker_id]
+        return max(
+            (self.estimate_left(p.unit, now) for p in worker.placements.values()),
+            default=0.0,
+        )
+
+    def reserve(self, unit: Unit, pool: list[Candidate], now: float) -> bool:
+        """Keep the workers that the gang can have soonest from longer work.
+
+        Answers a steady stream of small tasks beside a large gang: each takes the
+        room that one before it leaves, and the gang would wait for ever. Tasks
+        that end before the gang can begin still run there.
+        """
+        step = unit.step
+        suitable = list_suitable(step, pool, unit.avoided)
+        groups = group_by_rack(suitable) if step.one_rack else [suitable]
+        best: tuple[float, list[Candidate]] | None = None
+        for group in groups:
+            capacity = sum(count_fits(c, step.need) for c in group)
+            if capacity < len(unit.indices):
+                continue
+            frees = sorted(
+                ((self.estimate_free(c, now), c) for c in group),
+                key=lambda row: row[0],
+            )
+            chosen: list[Candidate] = []
+            room = 0
+            at = 0.0
+            for free_at, candidate in frees:
+                chosen.append(candidate)
+                room += count_fits(candidate, step.need)
+                at = free_at
+                if room >= len(unit.indices):
+                    break
+            if best is None or at < best[0]:
+                best = (at, chosen)
+        if best is None:
+            return False
+        for candidate in best[1]:
+            candidate.open_for_s = min(candidate.open_for_s, best[0])
+        return True
--- a/src/firladder/_internal/engine/health.py
+++ b/src/firladder/_internal/engine/health.py
@@ -1,5 +1,8 @@
 """Judge workers by what becomes of the tasks that they start."""
 
+from collections import Counter
+from collections.abc import Iterable
+
 from .state import Placement, Worker
 
 BLAMING_JOBS = 2
@@ -49,3 +52,17 @@
 def is_stalled(placement: Placement, now: float) -> bool:
     """Tell whether a task that is at work has stopped to progress."""
     return bool(placement.moved_at) and now - placement.moved_at > STALL_S
+
+
+def find_suspect_pools(workers: Iterable[Worker], now: float) -> set[str]:
+    """Return the pools of which too many workers are in quarantine.
+
+    Answers a wave of jobs that fail everywhere: held back for it, a pool would do
+    no work at all, though nothing is wrong with its workers.
+    """
+    counts: Counter[str] = Counter()
+    held: Counter[str] = Counter()
+    for worker in workers:
+        counts[worker.entry.pool] += worker.listed
+        held[worker.entry.pool] += worker.listed and now < worker.quarantined_until
+    return {pool for pool in counts if held[pool] > MOST_QUARANTINED * counts[pool]}
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -5,10 +5,10 @@
 
 from ..models.workload import Queue
 from .core import Core
+from .estimating import Estimates
+from .health import find_suspect_pools
 from .placement import (
     Candidate,
-    count_fits,
-    group_by_rack,
     list_suitable,
     place_unit,
 )
@@ -58,14 +58,13 @@
 class Planner:
     """Plans passes; remembers only for whom room is being made."""
 
-    def __init__(self, core: Core, *, early_s: float, reclaim_s: float) -> None:
+    def __init__(self, core: Core, *, reclaim_s: float) -> None:
         """Plan for ``core``.
 
-        ``reclaim_s`` is within what time urgent work must begin; ``early_s`` is
-        how much ahead of its time an occurrence may begin.
+        ``reclaim_s`` is within what time guaranteed urgent work must begin.
         """
         self._core = core
-        self._early_s = early_s
+        self._estimates = Estimates(core)
         self._reclaim_s = reclaim_s
         self._claims: dict[int, _Claim] = {}
         self._queues: dict[str, Queue] = {}
@@ -103,14 +102,18 @@
             if job.accepted.priority == 0 and self._make_room(unit, pool, now):
                 continue
             if len(unit.indices) > 1 and reservations < MOST_RESERVATIONS:
-                reservations += self._reserve(unit, pool, now)
+                reservations += self._estimates.reserve(unit, pool, now)
         return planned
 
     def _list_candidates(self, now: float) -> dict[str, list[Candidate]]:
         pools: dict[str, list[Candidate]] = {}
+        suspect = find_suspect_pools(self._core.workers.values(), now)
         for worker in self._core.workers.values():
             if not self._is_usable(worker, now):
                 continue
+            held_back = now < worker.quarantined_until
+            if held_back and worker.entry.pool not in suspect:
+                continue
             entry = worker.entry
             pools.setdefault(entry.pool, []).append(
                 Candidate(
@@ -129,7 +132,6 @@
             and worker.listed
             and worker.may_be_granted
             and not worker.entry.draining
-            and now >= worker.quarantined_until
             and now >= worker.full_until
         )
 
@@ -200,7 +202,7 @@
         accepted = unit.job.accepted
         if accepted.priority > 0:
             return False
-        takes_s = self._estimate_run(unit)
+        takes_s = self._estimates.estimate_run(unit)
         objective_s = accepted.stretch * takes_s + accepted.slo_s
         age_s = wall - accepted.accepted_at_s
         return objective_s < age_s + takes_s and age_s < VERY_LATE * objective_s
@@ -250,7 +252,7 @@
             avoided=self._list_avoided(unit, pool),
             taken=self._count_taken(unit),
             spread_allowed=self._may_spread(unit, now),
-            takes_s=self._estimate_run(unit),
+            takes_s=self._estimates.estimate_run(unit),
         )
 
     def _may_spread(self, unit: Unit, now: float) -> bool:
@@ -309,7 +311,7 @@
                     self._core.evict(unit)
 
     def _must_leave(self, unit: Unit, left_s: float, now: float) -> bool:
-        needed_s = self._estimate_left(unit, now)
+        needed_s = self._estimates.estimate_left(unit, now)
         if needed_s <= left_s:
             return False
         if unit.step.checkpoints:
@@ -345,7 +347,7 @@
             return True
         need = unit.step.need
         cores = need.cpu_milli / 1000 + need.accelerators * ACCELERATOR_CORES
-        work = cores * len(unit.indices) * self._estimate_run(unit)
+        work = cores * len(unit.indices) * self._estimates.estimate_run(unit)
         return found.cost <= LOSS_FOR_WORK * work
 
     def _is_guaranteed(self, unit: Unit) -> bool:
@@ -367,67 +369,3 @@
             and j.accepted.organisation == name
         )
         return needed <= guaranteed
-
-    def _reserve(self, unit: Unit, pool: list[Candidate], now: float) -> bool:
-        """Keep the workers that the gang can have soonest from longer work.
-
-        Answers a steady stream of small tasks beside a large gang: each takes the
-        room that one before it leaves, and the gang would wait for ever. Tasks
-        that end before the gang can begin still run there.
-        """
-        step = unit.step
-        suitable = list_suitable(step, pool, unit.avoided)
-        groups = group_by_rack(suitable) if step.one_rack else [suitable]
-        best: tuple[float, list[Candidate]] | None = None
-        for group in groups:
-            capacity = sum(count_fits(c, step.need) for c in group)
-            if capacity < len(unit.indices):
-                continue
-            frees = sorted(
-                ((self._estimate_free(c, now), c) for c in group),
-                key=lambda row: row[0],
-            )
-            chosen: list[Candidate] = []
-            room = 0
-            at = 0.0
-            for free_at, candidate in frees:
-                chosen.append(candidate)
-                room += count_fits(candidate, step.need)
-                at = free_at
-                if room >= len(unit.indices):
-                    break
-            if best is None or at < best[0]:
-                best = (at, chosen)
-        if best is None:
-            return False
-        for candidate in best[1]:
-            candidate.open_for_s = min(candidate.open_for_s, best[0])
-        return True
-
-    def _estimate_free(self, candidate: Candidate, now: float) -> float:
-        """Return in how many seconds all work on a worker is likely to be done."""
-        worker = self._core.workers[candidate.worker_id]
-        return max(
-            (self._estimate_left(p.unit, now) for p in worker.placements.values()),
-            default=0.0,
-        )
-
-    def _estimate_run(self, unit: Unit) -> float:
-        """Return how long a run takes; declared times are far off at times."""
-        key = (unit.job.accepted.queue, unit.step_index)
-        return self._core.runtimes.get(key, unit.step.estimate_s)
-
-    def _estimate_left(self, unit: Unit | None, now: float) -> float:
-        if unit is None:
-            return 0.5
-        expected = self._estimate_run(unit)
-        active = [p for p in unit.placements.values() if p.phase is Phase.ACTIVE]
-        if not active:
-            return expected
-        elapsed = now - max(p.active_at for p in active)
-        percent = max(p.percent for p in active)
-        if percent >= 20:
-            since = max(p.moved_at for p in active) - max(p.active_at for p in active)
-            total = max(since, 0.1) * 100 / percent
-            return max(0.0, total - elapsed)
-        return max(0.2, expected - elapsed)
--- /dev/null
+++ b/src/firladder/_internal/engine/reports.py
@@ -0,0 +1,172 @@
+"""What workers say, and what follows when they say nothing."""
+
+from ..models.order import EndedTask, Ending, TaskId, WorkerReport
+from ..models.workload import WorkerEntry
+from .health import blame_worker, clear_blame, is_stalled, note_percent
+from .runs import Runs
+from .state import Phase, Placement, Unit, UnitState, Worker
+
+
+class Reports(Runs):
+    """Compares what workers report with the runs that they were given."""
+
+    def see_worker(self, entry: WorkerEntry, *, now: float) -> Worker:
+        """Take a worker's newest entry."""
+        worker = self.workers.get(entry.worker_id)
+        if worker is None:
+            worker = self.workers[entry.worker_id] = Worker(entry)
+        else:
+            worker.entry = entry
+            worker.listed = True
+        worker.entry_seen_at = now
+        for other in list(self.workers.values()):
+            reborn = other.entry.address == entry.address
+            if reborn and other is not worker and not other.listed:
+                self.lose_worker(other.worker_id, "address taken by another worker")
+        return worker
+
+    def unlist_worker(self, worker_id: str) -> None:
+        """Note that a worker's entry is gone; what runs there may still run."""
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return
+        worker.listed = False
+        if not worker.placements:
+            del self.workers[worker_id]
+
+    def check_lapses(self, now: float) -> None:
+        """Give up runs whose leases have ended while nobody could reach them."""
+        for worker in list(self.workers.values()):
+            if worker.reachable or not worker.placements or now < worker.lapses_at:
+                continue
+            self.note(
+                "runs lapsed",
+                worker=worker.worker_id,
+                runs=len(worker.placements),
+                unreachable_s=round(now - worker.unreachable_at, 2),
+            )
+            for placement in list(worker.placements.values()):
+                self._resolve(worker, placement, None)
+            if not worker.listed:
+                self.workers.pop(worker.worker_id, None)
+
+    def give_up_stalled(self, now: float) -> None:
+        """End runs that stand still, so that they go on elsewhere."""
+        for worker in list(self.workers.values()):
+            for placement in list(worker.placements.values()):
+                unit = placement.unit
+                if unit is None or placement.phase is not Phase.ACTIVE:
+                    continue
+                if not worker.reachable or not is_stalled(placement, now):
+                    continue
+                if unit.step.lasting or not unit.working:
+                    continue
+                unit.avoided.add(worker.worker_id)
+                quarantined = blame_worker(worker, unit.job.accepted.job_id, now)
+                self.note(
+                    "run stands still",
+                    job=unit.job.accepted.job_id,
+                    worker=worker.worker_id,
+                    quarantined=quarantined,
+                )
+                self._give_up_run(unit)
+
+    def _note_reachable(self, worker: Worker) -> None:
+        if not worker.reachable:
+            worker.reachable = True
+            worker.barrier = [(j, j.version) for j in self._touch_jobs(worker)]
+
+    def read_report(
+        self, worker: Worker, report: WorkerReport, *, sent_at: float, now: float
+    ) -> None:
+        """Take what a worker says of its runs; the look left at ``sent_at``."""
+        self._note_reachable(worker)
+        worker.claimed = True
+        worker.clock_ahead_s = report.clock_s - now
+        for end in report.ended:
+            if end.number > worker.last_read:
+                worker.last_read = end.number
+                self._read_end(worker, end, now)
+        listed = {(row.task, row.run) for row in report.running}
+        for row in report.running:
+            placement = worker.placements.get((row.task, row.run))
+            if placement is None:
+                placement = self._adopt_stray(worker, row.task, row.run)
+            self._read_running(placement, row.checkpoint, row.percent, now)
+        for placement in list(worker.placements.values()):
+            if placement.key not in listed and placement.settled_at < sent_at:
+                self._resolve_absent(worker, placement)
+
+    def _read_running(
+        self, placement: Placement, checkpoint: str, percent: float, now: float
+    ) -> None:
+        if placement.phase in (Phase.SENT, Phase.RECOVERED):
+            self._activate(placement, now)
+        note_percent(placement, percent, now)
+        unit = placement.unit
+        if unit is not None and checkpoint and unit.state is UnitState.BUSY:
+            unit.checkpoint = checkpoint
+
+    def _adopt_stray(self, worker: Worker, task: TaskId, run: int) -> Placement:
+        """Give room to a run that is not ours to have, and end it.
+
+        A start that was carried out after it was given up would otherwise run
+        on beside its successor, and its room would be given away twice.
+        """
+        job = self.jobs.get(task.job_id)
+        step = None
+        if job is not None and task.step < len(job.accepted.workload.steps):
+            step = job.accepted.workload.steps[task.step]
+        need = step.need if step is not None else worker.entry.capacity
+        placement = Placement(None, task, run, worker.worker_id, need, Phase.STOPPING)
+        worker.placements[placement.key] = placement
+        self.note("stray run stopped", worker=worker.worker_id, job=task.job_id)
+        self.stops.append(placement)
+        return placement
+
+    def _resolve_absent(self, worker: Worker, placement: Placement) -> None:
+        if placement.phase is Phase.ACTIVE:
+            # It was there and no end is listed: make sure that it cannot be,
+            # then let the next look decide.
+            self._order_stop(placement)
+            return
+        self._resolve(worker, placement, None)
+
+    def _read_end(self, worker: Worker, end: EndedTask, now: float) -> None:
+        placement = worker.placements.get((end.task, end.run))
+        job = self.jobs.get(end.task.job_id)
+        if placement is None or placement.unit is None:
+            if placement is not None:
+                del worker.placements[placement.key]
+            worker.unacknowledged.append((end.number, None, 0))
+            return
+        unit = placement.unit
+        if end.checkpoint and unit.state is UnitState.BUSY:
+            unit.checkpoint = end.checkpoint
+        self._judge_end(worker, placement, end.ending, now)
+        self._resolve(worker, placement, end.ending)
+        version = job.version if job is not None else 0
+        worker.unacknowledged.append((end.number, job, version))
+
+    def _judge_end(
+        self, worker: Worker, placement: Placement, ending: Ending, now: float
+    ) -> None:
+        unit = placement.unit
+        if unit is None:
+            return
+        if ending == "done":
+            clear_blame(worker)
+            self._learn_runtime(unit, placement, now)
+        if ending != "failed":
+            return
+        unit.avoided.add(worker.worker_id)
+        if blame_worker(worker, unit.job.accepted.job_id, now):
+            self.note("worker quarantined", worker=worker.worker_id, cause="failures")
+
+    def _learn_runtime(self, unit: Unit, placement: Placement, now: float) -> None:
+        if not placement.active_at:
+            return
+        key = (unit.job.accepted.queue, unit.step_index)
+        spent = now - placement.active_at
+        former = self.runtimes.get(key, spent)
+        self.runtimes[key] = former + 0.2 * (spent - former)
--- /dev/null
+++ b/src/firladder/_internal/engine/runs.py
@@ -0,0 +1,346 @@
+"""Runs of units: planned, made durable, sent, ended, and settled.
+
+The life of a run keeps four promises, whatever its orders meet on the way:
+
+- nothing is sent to a worker before the run it belongs to is durable, so that a
+  successor knows every run that may exist;
+- a task is not started again before its last run is proved to be over: listed
+  as ended, absent from a look that left after its last order was answered, gone
+  with its incarnation, or ended for want of renewal on any clock;
+- what may still run, or may still start late, holds its room;
+- an end is acknowledged to its worker, and shown to callers, only when durable.
+"""
+
+import math
+from collections.abc import Callable, Iterable
+
+from ..exceptions import (
+    FencedOff,
+    NotSent,
+    OrderRejected,
+    SentUnanswered,
+    WorkerRefused,
+    WorkerReplaced,
+)
+from ..models.order import Ending, StartOrder, StopOrder
+from ..models.workload import QueueConfiguration
+from .health import blame_worker
+from .state import Job, JobState, Phase, Placement, Unit, UnitState, Worker
+
+STOP_AGAIN_S = 1.2
+"""Seconds until a stop without an answer is sent again; longer than the time
+for which its answer is awaited."""
+
+FULL_S = 1.0
+"""Seconds without new work for a worker that said it has no room."""
+
+StartFailure = (
+    FencedOff
+    | OrderRejected
+    | WorkerRefused
+    | WorkerReplaced
+    | NotSent
+    | SentUnanswered
+)
+
+Note = Callable[..., None]
+"""Takes a decision's name and its inputs, for the log."""
+
+
+def _drop_note(_what: str, **_inputs: object) -> None:
+    """Take a note and do nothing with it."""
+
+
+class Runs:
+    """The runs of all units on all workers, and the orders that they need."""
+
+    def __init__(self, *, hold_s: float, note: Note = _drop_note) -> None:
+        """Grant leases of ``hold_s`` seconds."""
+        self.hold_s = hold_s
+        self.jobs: dict[str, Job] = {}
+        self.workers: dict[str, Worker] = {}
+        self.configuration = QueueConfiguration(0)
+        self.note = note
+        self.dirty: dict[str, Job] = {}
+        self.starts: list[Placement] = []
+        self.stops: list[Placement] = []
+        self.runtimes: dict[tuple[str, int], float] = {}
+        self.early_cancels: set[str] = set()
+        self._planned: list[Placement] = []
+
+    def lose_worker(self, worker_id: str, reason: str) -> None:
+        """Note that nothing runs on a worker any more and nothing ever will."""
+        worker = self.workers.pop(worker_id, None)
+        if worker is None:
+            return
+        self.note(
+            "worker lost", worker=worker_id, reason=reason, runs=len(worker.placements)
+        )
+        for placement in list(worker.placements.values()):
+            self._resolve(worker, placement, None)
+
+    def note_unreachable(self, worker: Worker, now: float) -> None:
+        """Note that a call to a worker got no answer."""
+        if worker.reachable:
+            worker.reachable = False
+            worker.unreachable_at = now
+            self._touch_jobs(worker)
+
+    def _touch_jobs(self, worker: Worker) -> list[Job]:
+        jobs = {
+            p.unit.job.accepted.job_id: p.unit.job
+            for p in worker.placements.values()
+            if p.unit is not None
+        }
+        for job in jobs.values():
+            self._touch(job)
+        return list(jobs.values())
+
+    def plan_run(self, unit: Unit, workers: Iterable[str]) -> None:
+        """Give a unit's tasks to workers under a new run number."""
+        unit.run += 1
+        unit.state = UnitState.BUSY
+        unit.run_failed = False
+        for index, worker_id in zip(unit.indices, workers, strict=True):
+            task = unit.name_task(index)
+            placement = Placement(
+                unit, task, unit.run, worker_id, unit.step.need, Phase.PLANNED
+            )
+            unit.placements[index] = placement
+            self.workers[worker_id].placements[placement.key] = placement
+            self._planned.append(placement)
+        self._touch(unit.job)
+        unit.planned_version = unit.job.version
+        self.note(
+            "job planned",
+            job=unit.job.accepted.job_id,
+            step=unit.step_index,
+            occurrence=unit.occurrence,
+            index=unit.indices[0],
+            run=unit.run,
+            workers=sorted({p.worker_id for p in unit.placements.values()}),
+        )
+
+    def evict(self, unit: Unit) -> None:
+        """End a unit's run so that its room becomes free; it will run again."""
+        self._give_up_run(unit)
+
+    def take_starts(self) -> list[Placement]:
+        """Return the starts that are durable and not sent yet."""
+        starts, self.starts = self.starts, []
+        return [p for p in starts if p.phase is Phase.SENT]
+
+    def take_stops(self, now: float) -> list[Placement]:
+        """Return the stops to be sent now, repeated ones included."""
+        self.stops.clear()
+        due = [
+            p
+            for w in self.workers.values()
+            for p in w.placements.values()
+            if p.phase is Phase.STOPPING
+            and not p.stop_answered
+            and now - p.stop_tried_at > STOP_AGAIN_S
+        ]
+        for placement in due:
+            placement.stop_tried_at = now
+        return due
+
+    def describe_start(self, placement: Placement) -> StartOrder:
+        """Return the order that begins a placement."""
+        unit = placement.unit
+        assert unit is not None
+        return StartOrder(
+            placement.worker_id,
+            self.workers[placement.worker_id].entry.address,
+            placement.task,
+            placement.run,
+            unit.job.accepted.workload.payload,
+            unit.checkpoint,
+        )
+
+    def describe_stop(self, placement: Placement) -> StopOrder | None:
+        """Return the order that ends a placement, or None if its worker is gone."""
+        worker = self.workers.get(placement.worker_id)
+        if worker is None:
+            return None
+        return StopOrder(
+            placement.worker_id, worker.entry.address, placement.task, placement.run
+        )
+
+    def read_start(
+        self, placement: Placement, answer: float | StartFailure, now: float
+    ) -> None:
+        """Take the answer to a start."""
+        worker = self.workers.get(placement.worker_id)
+        if worker is None or placement.key not in worker.placements:
+            return
+        if isinstance(answer, float):
+            if placement.settled_at == math.inf:
+                placement.settled_at = now
+            if placement.phase is Phase.SENT:
+                self._activate(placement, now)
+            return
+        if isinstance(answer, WorkerReplaced):
+            self.lose_worker(worker.worker_id, answer.reason)
+            return
+        if isinstance(answer, SentUnanswered | FencedOff):
+            self.note_unreachable(worker, now)
+            if placement.phase is Phase.SENT:
+                self._order_stop(placement)
+            return
+        self._judge_refusal(worker, placement, answer, now)
+        self._resolve(worker, placement, None)
+
+    def _judge_refusal(
+        self,
+        worker: Worker,
+        placement: Placement,
+        answer: OrderRejected | WorkerRefused | NotSent,
+        now: float,
+    ) -> None:
+        unit = placement.unit
+        if isinstance(answer, OrderRejected) and answer.rejection == "no_room":
+            worker.full_until = now + FULL_S
+        elif isinstance(answer, NotSent):
+            self.note_unreachable(worker, now)
+        elif isinstance(answer, WorkerRefused) and unit is not None:
+            worker.full_until = now + FULL_S
+            blame_worker(worker, unit.job.accepted.job_id, now)
+
+    def read_stop(
+        self, placement: Placement, answer: float | StartFailure, now: float
+    ) -> None:
+        """Take the answer to a stop."""
+        worker = self.workers.get(placement.worker_id)
+        if worker is None:
+            return
+        if isinstance(answer, float):
+            placement.stop_answered = True
+            placement.settled_at = now
+        elif isinstance(answer, WorkerReplaced):
+            self.lose_worker(worker.worker_id, answer.reason)
+        elif isinstance(answer, OrderRejected):
+            placement.stop_answered = True
+            placement.settled_at = now
+        else:
+            self.note_unreachable(worker, now)
+
+    def mark_durable(self, job_id: str, version: int) -> None:
+        """Note that a job is stored as it was at ``version``."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return
+        job.durable = max(job.durable, version)
+        if job.durable >= job.version and self.dirty.get(job_id) is job:
+            del self.dirty[job_id]
+        waiting, self._planned = self._planned, []
+        for placement in waiting:
+            unit = placement.unit
+            if placement.phase is not Phase.PLANNED or unit is None:
+                continue
+            if unit.job is job and job.durable >= unit.planned_version:
+                placement.phase = Phase.SENT
+                self.starts.append(placement)
+            else:
+                self._planned.append(placement)
+
+    def _end_job(self, job: Job, state: JobState) -> None:
+        job.state = state
+        self._touch(job)
+        self.note("job ended", job=job.accepted.job_id, outcome=state.value)
+        self._stop_all(job)
+
+    def _stop_all(self, job: Job) -> None:
+        for unit in job.units:
+            self._give_up_run(unit)
+
+    def _touch(self, job: Job) -> None:
+        job.touch()
+        self.dirty[job.accepted.job_id] = job
+
+    def _activate(self, placement: Placement, now: float) -> None:
+        placement.phase = Phase.ACTIVE
+        placement.active_at = now
+        placement.moved_at = now
+        if placement.settled_at in (math.inf, -math.inf):
+            placement.settled_at = now
+        unit = placement.unit
+        if unit is not None and unit.job.state is JobState.QUEUED:
+            unit.job.state = JobState.RUNNING
+
+    def _order_stop(self, placement: Placement) -> None:
+        placement.phase = Phase.STOPPING
+        placement.settled_at = math.inf
+        placement.stop_answered = False
+        self.stops.append(placement)
+
+    def _give_up_run(self, unit: Unit) -> None:
+        if unit.state is UnitState.DONE:
+            return
+        for placement in list(unit.placements.values()):
+            if placement.phase is Phase.PLANNED:
+                placement.phase = Phase.STOPPING
+                self._drop(self.workers.get(placement.worker_id), placement)
+            elif placement.phase is not Phase.STOPPING:
+                self._order_stop(placement)
+        self._settle(unit)
+
+    def _drop(self, worker: Worker | None, placement: Placement) -> None:
+        if worker is not None:
+            worker.placements.pop(placement.key, None)
+            if not worker.listed and not worker.placements:
+                self.workers.pop(worker.worker_id, None)
+        unit = placement.unit
+        if unit is not None:
+            unit.placements.pop(placement.task.index, None)
+
+    def _resolve(
+        self, worker: Worker, placement: Placement, ending: Ending | None
+    ) -> None:
+        """Free a placement whose end is proved; None says how is not known."""
+        placement.phase = Phase.STOPPING
+        self._drop(worker, placement)
+        unit = placement.unit
+        if unit is None:
+            return
+        self._touch(unit.job)
+        if unit.state is not UnitState.BUSY:
+            return
+        if ending == "done":
+            unit.state = UnitState.DONE
+            self._check_completed(unit.job)
+            return
+        if ending == "failed":
+            unit.run_failed = True
+        self.note(
+            "run ended",
+            job=unit.job.accepted.job_id,
+            step=unit.step_index,
+            index=placement.task.index,
+            run=placement.run,
+            worker=worker.worker_id,
+            how=ending or "not there",
+        )
+        self._give_up_run(unit)
+
+    def _settle(self, unit: Unit) -> None:
+        """Let a unit whose run is over wait for its next one, or fail."""
+        if unit.placements or unit.state is not UnitState.BUSY:
+            return
+        unit.state = UnitState.WAITING
+        job = unit.job
+        if not unit.run_failed:
+            return
+        unit.run_failed = False
+        unit.failures += 1
+        if unit.step.lasting or job.terminal:
+            return
+        if unit.failures >= job.accepted.max_attempts:
+            unit.state = UnitState.FAILED
+            self._end_job(job, JobState.FAILED)
+
+    def _check_completed(self, job: Job) -> None:
+        if job.terminal:
+            return
+        if all(unit.state is UnitState.DONE for unit in job.units):
+            self._end_job(job, JobState.COMPLETED)
--- /dev/null
+++ b/src/firladder/_internal/node/answers.py
@@ -0,0 +1,73 @@
+"""Answer what other nodes ask of this one."""
+
+from typing import TYPE_CHECKING
+
+from ..exceptions import NotLeader
+from ..models.message import (
+    AnnounceCancel,
+    AnnounceJob,
+    AnyBody,
+    AskJob,
+    AskPending,
+    JobReply,
+    PendingReply,
+    Received,
+    Refused,
+    StoreOutcome,
+    StoreRecord,
+)
+from .term import Term
+
+if TYPE_CHECKING:
+    from .daemon import Node
+
+
+def take_announcement(term: Term, body: AnyBody) -> None:
+    """Tell a term of a stored job or cancellation before its watch does."""
+    if isinstance(body, AnnounceJob):
+        term.add_record(body.record)
+    elif isinstance(body, AnnounceCancel):
+        term.core.cancel_job(body.job_id)
+        term.note_change()
+
+
+class PeerAnswers:
+    """The node's end of questions from its peers."""
+
+    def __init__(self, node: "Node") -> None:
+        """Answer for ``node``."""
+        self._node = node
+
+    def register(self) -> None:
+        """Answer all messages that a leader or a helper is asked."""
+        self._node.fabric.handle(AnnounceJob, self._answer_announcement)
+        self._node.fabric.handle(AnnounceCancel, self._answer_announcement)
+        self._node.fabric.handle(AskJob, self._answer_job)
+        self._node.fabric.handle(AskPending, self._answer_pending)
+        self._node.fabric.handle(StoreRecord, self._answer_store)
+
+    def _refuse(self) -> Refused:
+        return Refused(failure=NotLeader(reason="this node does not lead"))
+
+    async def _answer_announcement(self, message: AnyBody) -> AnyBody:
+        if self._node.term is None or not self._node.term.ready:
+            return self._refuse()
+        take_announcement(self._node.term, message)
+        return Received()
+
+    async def _answer_job(self, message: AskJob) -> AnyBody:
+        if self._node.term is None or not self._node.term.ready:
+            return self._refuse()
+        state = self._node.term.core.read_state(message.job_id)
+        return JobReply(state=state.value if state is not None else "")
+
+    async def _answer_pending(self, message: AskPending) -> AnyBody:
+        if self._node.term is None or not self._node.term.ready:
+            return self._refuse()
+        return PendingReply(count=self._node.term.core.count_pending(message.queue))
+
+    async def _answer_store(self, message: StoreRecord) -> AnyBody:
+        outcome = await self._node.records.create_here(
+            message.key, message.value, timeout_s=0.4
+        )
+        return StoreOutcome(outcome=outcome)
--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -8,28 +8,14 @@
 from collections import Counter
 
 from ..charts.interpreter import ChartInstance, load_chart
-from ..exceptions import NotLeader, SettingError
+from ..exceptions import SettingError
 from ..models.message import (
-    AnnounceCancel,
-    AnnounceJob,
     AnyBody,
-    AskJob,
-    AskPending,
-    JobReply,
-    PendingReply,
-    Received,
-    Refused,
-    StoreOutcome,
-    StoreRecord,
 )
 from ..network.fabric import Fabric
 from ..network.http_client import HttpClient
 from ..network.http_server import (
-    HttpCall,
-    HttpReply,
     HttpServer,
-    RouteTable,
-    reply_json,
 )
 from ..platform.configuration import CONFIGURATION_KEY, CONFIGURATION_PREFIX
 from ..platform.settings import NodeSettings, read_node_settings
@@ -39,12 +25,14 @@
 from ..utils.events import Event, Timeline
 from ..utils.tasks import TaskSet
 from ..utils.tokens import mint_incarnation
+from .answers import PeerAnswers, take_announcement
 from .configuration import ConfigurationStore
 from .election import Campaign, Leadership, choose_delay, decode_leader
 from .fleet import Fleet
 from .intake import Intake
 from .keys import LEADER
 from .metrics import NodeMetrics
+from .operations import METRICS, READY
 from .records import Records
 from .term import LOAD_S, Term
 from .watching import PrefixWatch
@@ -129,7 +117,7 @@
         self._front = HttpServer(self, self.intake)
         self._ready = HttpServer(self, READY)
         self._metrics = HttpServer(self, METRICS)
-        self._register_messages()
+        PeerAnswers(self).register()
 
     async def run(self) -> None:
         """Serve until told to stop, then leave gracefully."""
@@ -328,52 +316,10 @@
     async def announce_now(self, body: AnyBody) -> None:
         """Tell the leader; if that fails, it hears of it by its own watch."""
         if self.term is not None and self.term.ready:
-            self._take_announcement(self.term, body)
+            take_announcement(self.term, body)
             return
         await self.fleet.ask_leader(body, timeout_s=ANNOUNCE_TIMEOUT_S)
 
-    def _take_announcement(self, term: Term, body: AnyBody) -> None:
-        if isinstance(body, AnnounceJob):
-            term.add_record(body.record)
-        elif isinstance(body, AnnounceCancel):
-            term.core.cancel_job(body.job_id)
-            term.note_change()
-
-    # -- what peers ask ---------------------------------------------------------------
-
-    def _register_messages(self) -> None:
-        self.fabric.handle(AnnounceJob, self._answer_announcement)
-        self.fabric.handle(AnnounceCancel, self._answer_announcement)
-        self.fabric.handle(AskJob, self._answer_job)
-        self.fabric.handle(AskPending, self._answer_pending)
-        self.fabric.handle(StoreRecord, self._answer_store)
-
-    def _refuse(self) -> Refused:
-        return Refused(failure=NotLeader(reason="this node does not lead"))
-
-    async def _answer_announcement(self, message: AnyBody) -> AnyBody:
-        if self.term is None or not self.term.ready:
-            return self._refuse()
-        self._take_announcement(self.term, message)
-        return Received()
-
-    async def _answer_job(self, message: AskJob) -> AnyBody:
-        if self.term is None or not self.term.ready:
-            return self._refuse()
-        state = self.term.core.read_state(message.job_id)
-        return JobReply(state=state.value if state is not None else "")
-
-    async def _answer_pending(self, message: AskPending) -> AnyBody:
-        if self.term is None or not self.term.ready:
-            return self._refuse()
-        return PendingReply(count=self.term.core.count_pending(message.queue))
-
-    async def _answer_store(self, message: StoreRecord) -> AnyBody:
-        outcome = await self.records.create_here(
-            message.key, message.value, timeout_s=0.4
-        )
-        return StoreOutcome(outcome=outcome)
-
     # -- what operators see ------------------------------------------------------------
 
     @property
@@ -394,30 +340,3 @@
         logger.warning("settings file cannot be looked at: %s", error)
         return 0.0, 0
     return found.st_mtime, found.st_size
-
-
-READY = RouteTable()
-METRICS = RouteTable()
-
-
-@READY.route("GET", "/-/ready")
-async def tell_ready(node: Node, call: HttpCall) -> HttpReply:
-    """Tell the balancer whether to send new connections here."""
-    ready = node.ready
-    return reply_json({"ready": ready}, status=200 if ready else 503)
-
-
-@METRICS.route("GET", "/metrics")
-async def show_metrics(node: Node, call: HttpCall) -> HttpReply:
-    """Return all metrics as text."""
-    node.metrics.collect(node)
-    content, content_type = node.metrics.render()
-    return HttpReply(200, content, content_type)
-
-
-@METRICS.route("GET", "/events")
-async def list_events(node: Node, call: HttpCall) -> HttpReply:
-    """Return this process's part of the time line."""
-    after = call.query.get("after", "0")
-    events = node.timeline.list_events(after=int(after) if after.isdigit() else 0)
-    return reply_json({"events": events})
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -76,9 +76,7 @@
         self._rng = rng
         self._timeline = timeline
         self._tasks = TaskSet()
-        self._planner = Planner(
-            self.core, early_s=settings.early_s, reclaim_s=settings.reclaim_s
-        )
+        self._planner = Planner(self.core, reclaim_s=settings.reclaim_s)
         self._revisions: dict[str, int] = {}
         self._attendants: dict[str, Attendant] = {}
         self._ended: asyncio.Future[str] = asyncio.get_running_loop().create_future()
