Check a run on the platform exhaustively, with each guard taken out in turn

Cause: the new core's protocol was checked by random events alone. Change: a sixth specification: one task, a leader and its successor, two workers, a cancellation, orders and a write that land late; six guards, each with its shortest counterexample (5 to 12 steps) and the refused step tried on the real core.

Before: none.

--- a/features/protocol_model.feature
+++ b/features/protocol_model.feature
@@ -33,6 +33,15 @@
       | write_compares_leader | 3     |
       | outwait_lapse         | 10    |
 
+    Examples: Runs on the platform
+      | guard                       | steps |
+      | durable_before_start        | 5     |
+      | stop_before_next            | 8     |
+      | ask_before_next             | 9     |
+      | durable_before_acknowledged | 12    |
+      | leader_compared             | 9     |
+      | cancel_read_first           | 5     |
+
     Examples: Requests and configuration
       | guard              | steps |
       | create_claim       | 6     |
--- a/features/steps/protocol_model_steps.py
+++ b/features/steps/protocol_model_steps.py
@@ -4,6 +4,7 @@
 import msgspec
 from behave import then, when
 
+from features.support.engine_world import EngineWorld, make_job, make_step
 from features.support.protocol import (
     LOST,
     FakeClock,
@@ -14,7 +15,12 @@
 )
 from firladder._internal.commands.model import format_verdict
 from firladder._internal.etcd.inventory import Inventory
-from firladder._internal.exceptions import RevisionConflict, StoreConflict
+from firladder._internal.exceptions import (
+    NotLeader,
+    RevisionConflict,
+    SentUnanswered,
+    StoreConflict,
+)
 from firladder._internal.fleet.configuration import ConfigurationHolder
 from firladder._internal.gateway.configuration import ConfigurationDesk
 from firladder._internal.gateway.ownership import Mine, Owners, Theirs, Unclaimed
@@ -31,6 +37,9 @@
 )
 from firladder._internal.models.message import Identity
 from firladder._internal.models.task import TaskStatus
+from firladder._internal.node.journal import Journal
+from firladder._internal.node.keys import LEADER
+from firladder._internal.platform.store import Conflict, Item
 from firladder._internal.scheduler.gang_messages import MemberLost
 from firladder._internal.utils.clocks import LogicalClock
 from firladder._internal.utils.events import Timeline
@@ -276,7 +285,92 @@
         assert isinstance(await self.change(store), Accepted)
 
 
-REPLAYERS = (LeadershipReplays, GangReplays, ClaimReplays, ConfigurationReplays)
+class RunReplays:
+    """A run's steps on the real core and journal."""
+
+    def start(self, *, accept=True):
+        world = EngineWorld(2)
+        world.submit(make_job("a", make_step()))
+        started = world.start_all()
+        if accept:
+            world.accept(started)
+        return world, started
+
+    @replay("durable_before_start")
+    async def send_unwritten(self):
+        world = EngineWorld(2)
+        world.submit(make_job("a", make_step()))
+        assert world.plan() == 1
+        assert world.core.take_starts() == []
+
+    @replay("stop_before_next")
+    async def lose_start(self):
+        world, (placement,) = self.start(accept=False)
+        lost = SentUnanswered(reason="lost")
+        world.core.read_start(placement, lost, world.now)
+        world.report(world.core.workers[placement.worker_id])
+        assert world.plan() == 0, "planned again before the stop was answered"
+
+    @replay("ask_before_next")
+    async def succeed_unasked(self):
+        world, (placement,) = self.start()
+        world.succeed()
+        for worker in world.core.workers.values():
+            if worker.worker_id != placement.worker_id:
+                world.report(worker)
+        assert world.plan() == 0, "planned again before its worker was asked"
+
+    @replay("durable_before_acknowledged")
+    async def acknowledge_early(self):
+        world, (placement,) = self.start()
+        world.end(placement, "done")
+        worker = world.core.workers[placement.worker_id]
+        assert worker.count_durable_ends() == 0
+        world.make_durable()
+        assert worker.count_durable_ends() == 1
+
+    @replay("leader_compared")
+    async def write_late(self):
+        world, _ = self.start()
+        journal = Journal(
+            core=world.core,
+            store=FakePlatformStore(leader=2),
+            token=1,
+            revisions={},
+            clock=FakeClock(),
+            on_durable=lambda: None,
+        )
+        world.core.cancel_job("a")
+        journal.wake()
+        assert isinstance(await journal.run(), NotLeader)
+        assert "a" in world.core.dirty
+
+    @replay("cancel_read_first")
+    async def read_cancel(self):
+        world = EngineWorld(2)
+        world.core.cancel_job("a")
+        world.submit(make_job("a", make_step()))
+        assert world.plan() == 0
+
+
+class FakePlatformStore:
+    """A store in which another node leads."""
+
+    def __init__(self, leader):
+        self.leader = leader
+
+    async def commit(self, *, expected, writes=(), remove=(), timeout_s=1.0):
+        assert (LEADER, 1) in expected, expected
+        return Conflict((Item(LEADER, b"", self.leader),))
+
+
+REPLAYERS = (
+    LeadershipReplays,
+    GangReplays,
+    ClaimReplays,
+    ConfigurationReplays,
+    RunReplays,
+)
 
 
 @when("the protocol specifications are checked with all guards")
--- a/src/firladder/_internal/commands/model.py
+++ b/src/firladder/_internal/commands/model.py
@@ -5,7 +5,7 @@
 
 from ..cli.exits import EXIT_OK, EXIT_USAGE
 from ..exceptions import CheckerMissing
-from ..model import claims, configuration, gangs, leadership  # noqa: F401
+from ..model import claims, configuration, gangs, leadership, runs  # noqa: F401
 from ..model.specification import SPECIFICATIONS, Verdict, check, find_by_guard
 from ..utils.settings import Resolved, Setting, check_optional
 from .registry import Command
