--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -17,6 +17,7 @@
 from ..exceptions import (
     FencedOff,
     NotSent,
+    OrderFailure,
     OrderRejected,
     SentUnanswered,
     WorkerRefused,
@@ -34,15 +35,6 @@
 FULL_S = 1.0
 """Seconds without new work for a worker that said it has no room."""
 
-StartFailure = (
-    FencedOff
-    | OrderRejected
-    | WorkerRefused
-    | WorkerReplaced
-    | NotSent
-    | SentUnanswered
-)
-
 Note = Callable[..., None]
 """Takes a decision's name and its inputs, for the log."""
 
@@ -168,7 +160,7 @@
         )
 
     def read_start(
-        self, placement: Placement, answer: float | StartFailure, now: float
+        self, placement: Placement, answer: float | OrderFailure, now: float
     ) -> None:
         """Take the answer to a start."""
         worker = self.workers.get(placement.worker_id)
@@ -208,7 +200,7 @@
             blame_worker(worker, unit.job.accepted.job_id, now)
 
     def read_stop(
-        self, placement: Placement, answer: float | StartFailure, now: float
+        self, placement: Placement, answer: float | OrderFailure, now: float
     ) -> None:
         """Take the answer to a stop."""
         worker = self.workers.get(placement.worker_id)
--- a/src/firladder/_internal/exceptions.py
+++ b/src/firladder/_internal/exceptions.py
@@ -270,6 +270,17 @@
 """Union of all failures, for decoding them from a message."""
 
 
+OrderFailure = (
+    FencedOff
+    | OrderRejected
+    | WorkerRefused
+    | WorkerReplaced
+    | NotSent
+    | SentUnanswered
+)
+"""What may come of a call to a worker of the platform in place of its answer."""
+
+
 class SettingError(Exception):
     """A flag or environment variable is wrong; the process must not start."""
 
--- a/src/firladder/_internal/node/attendant.py
+++ b/src/firladder/_internal/node/attendant.py
@@ -11,12 +11,13 @@
 from ..exceptions import (
     FencedOff,
     NotSent,
+    OrderFailure,
     OrderRejected,
     WorkerRefused,
     WorkerReplaced,
 )
 from ..models.order import WorkerReport
-from ..platform.workers import CallFailure, WorkerCalls
+from ..platform.workers import WorkerCalls
 from ..utils.clocks import Clock
 
 logger = logging.getLogger(__name__)
@@ -149,7 +150,7 @@
         answer = await owner.calls.look(
             worker.worker_id,
             worker.entry.address,
-            last_seen=seen,
+            acknowledged=seen,
             deadline_s=deadline_s,
             wait_s=wait_s,
             timeout_s=wait_s + LOOK_SLACK_S if waits else QUICK_S,
@@ -169,7 +170,7 @@
         self._read_failure(answer, now)
         return False
 
-    def _read_failure(self, answer: CallFailure, now: float) -> None:
+    def _read_failure(self, answer: OrderFailure, now: float) -> None:
         worker = self._worker
         if isinstance(answer, FencedOff):
             self._owner.step_down("a worker knows a higher fencing token")
--- a/src/firladder/_internal/platform/settings.py
+++ b/src/firladder/_internal/platform/settings.py
@@ -18,19 +18,10 @@
 
 
 class _Bounds(msgspec.Struct, frozen=True):
-    contact_ms: float = 3000
-    drain_ms: float = 2000
-    grace_s: float = 6
-    config_apply_ms: float = 2000
+    # The longest lease that a worker grants to what runs there.
     max_hold_ms: float = 10000
-    stop_grace_ms: float = 200
-    gang_timeout_ms: float = 3000
-    cancel_ms: float = 3000
-    early_ms: float = 250
+    # For how long callers are told of a job that has ended.
     status_s: float = 120
-    far_factor: float = 3
-    restore_ms: float = 100
-    lease_ms: float = 3000
     reclaim_ms: float = 2700
 
 
@@ -43,9 +34,6 @@
 
 class _Store(msgspec.Struct):
     address: str
-    writes_per_s: float = 400
-    reads_per_s: float = 2000
-    min_ttl_ms: float = 1000
 
 
 class _File(msgspec.Struct):
@@ -56,7 +44,6 @@
     listen: _Listen
     platform: _Store
     seeds: list[str] = []
-    heartbeat_ms: float = 1500
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
 
@@ -79,16 +66,8 @@
     peer_port: int
     peers: tuple[str, ...]
     store_address: str
-    lease_min_s: float
-    worker_beat_s: float
     max_hold_s: float
-    stop_grace_s: float
-    drain_s: float
-    grace_s: float
-    early_s: float
     kept_s: float
-    far_factor: float
-    restore_s: float
     reclaim_s: float
     processor_cores: float
     link_mbps: float
@@ -118,16 +97,8 @@
         peer_port=first_port,
         peers=tuple(seed.rpartition(":")[0] for seed in wire.seeds),
         store_address=wire.platform.address,
-        lease_min_s=wire.platform.min_ttl_ms / 1000,
-        worker_beat_s=wire.heartbeat_ms / 1000,
         max_hold_s=bounds.max_hold_ms / 1000,
-        stop_grace_s=bounds.stop_grace_ms / 1000,
-        drain_s=bounds.drain_ms / 1000,
-        grace_s=bounds.grace_s,
-        early_s=bounds.early_ms / 1000,
         kept_s=bounds.status_s,
-        far_factor=bounds.far_factor,
-        restore_s=bounds.restore_ms / 1000,
         reclaim_s=bounds.reclaim_ms / 1000,
         processor_cores=wire.limits.cpu_share * wire.limits.cores,
         link_mbps=wire.limits.link_mbps,
--- a/src/firladder/_internal/platform/workers.py
+++ b/src/firladder/_internal/platform/workers.py
@@ -7,7 +7,7 @@
 
 from ..exceptions import (
     FencedOff,
-    NotSent,
+    OrderFailure,
     OrderRejected,
     SentUnanswered,
     WorkerRefused,
@@ -42,15 +42,6 @@
     "ticket": "ticket",
 }
 
-CallFailure = (
-    FencedOff
-    | OrderRejected
-    | WorkerRefused
-    | WorkerReplaced
-    | NotSent
-    | SentUnanswered
-)
-
 
 class _Clock(msgspec.Struct):
     clock_ms: float
@@ -89,7 +80,7 @@
 
     async def start(
         self, order: StartOrder, *, deadline_s: float
-    ) -> float | CallFailure:
+    ) -> float | OrderFailure:
         """Begin a task; return the worker's clock in seconds.
 
         ``deadline_s`` is the time on that clock until which all that runs on
@@ -106,7 +97,7 @@
             body["checkpoint"] = order.checkpoint
         return await self._order(order.worker_id, order.address, "/-/run-start", body)
 
-    async def stop(self, order: StopOrder) -> float | CallFailure:
+    async def stop(self, order: StopOrder) -> float | OrderFailure:
         """End a run; a run that is not there is rejected when it comes later."""
         body = {
             "task": format_task(order.task),
@@ -120,17 +111,17 @@
         worker_id: str,
         address: str,
         *,
-        last_seen: int,
+        acknowledged: int,
         deadline_s: float | None,
         wait_s: float,
         timeout_s: float,
-    ) -> WorkerReport | CallFailure:
+    ) -> WorkerReport | OrderFailure:
         """Report all runs and ends, waiting ``wait_s`` for an end.
 
-        Ends up to ``last_seen`` are forgotten by the worker. A ``deadline_s``
+        Ends up to ``acknowledged`` are forgotten by the worker. A ``deadline_s``
         on the worker's clock lengthens the lease of all that runs there.
         """
-        body: dict[str, Any] = {"fencing_token": self.token, "last_seen": last_seen}
+        body: dict[str, Any] = {"fencing_token": self.token, "last_seen": acknowledged}
         if deadline_s is not None:
             body["deadline_ms"] = int(deadline_s * 1000)
         if wait_s:
@@ -151,7 +142,7 @@
 
     async def _order(
         self, worker_id: str, address: str, path: str, body: dict[str, Any]
-    ) -> float | CallFailure:
+    ) -> float | OrderFailure:
         answer = await self._call(worker_id, address, path, body, ORDER_TIMEOUT_S)
         if not isinstance(answer, HttpAnswer):
             return answer
@@ -168,7 +159,7 @@
         path: str,
         body: dict[str, Any],
         timeout_s: float,
-    ) -> HttpAnswer | CallFailure:
+    ) -> HttpAnswer | OrderFailure:
         self.calls += 1
         answer = await self._http.call(
             "POST",
@@ -184,7 +175,7 @@
         return _explain(answer)
 
 
-def _explain(answer: HttpAnswer) -> CallFailure:
+def _explain(answer: HttpAnswer) -> OrderFailure:
     if answer.status == 421:
         return WorkerReplaced(reason="another incarnation answers at this address")
     if answer.status in (429, 503):
