Keep a job completed while the last ends of its gang come in

One done end stands for a whole gang; the other members' ends changed the job's record, and an outcome was shown only when all of the record was durable. Change: the version that has the outcome decides.

Before: the new scenario fails (running).

--- a/features/engine_runs.feature
+++ b/features/engine_runs.feature
@@ -121,6 +121,19 @@
     Then "a" is ordered to stop and holds its room
     And no pass plans "a" again
 
+  Scenario: A completed job stays completed while the rest of its gang ends
+    One done end stands for a whole gang, so the job is shown as completed. When the
+    other members' ends came in, it was shown as running until they were stored too.
+    Given an engine with 2 workers of 8 accelerators
+    And job "g" of a gang of 2 tasks with 8 accelerators is started
+    When both members of "g" are accepted, and the end "done" of one is listed
+    And what has changed becomes durable
+    Then "g" is shown as "completed"
+    When the end "done" of the other member is listed
+    Then "g" is shown as "completed"
+    When "g" is cancelled
+    Then "g" is shown as "completed"
+
   Scenario: A cancelled job is never shown as running again
     A node without the leader reads the record of the cancellation and shows the job
     as cancelled. Asked next, the leader, whose own write still waits for a slow
--- a/features/platform_soak.feature
+++ b/features/platform_soak.feature
@@ -13,3 +13,4 @@
       | 1    | 8      | a gang of the stand-ins ended in parts                           |
       | 2    | 8      | the short run of every check                                     |
       | 116  | 12     | a job shown as cancelled was shown as running by a leader after  |
+      | 231  | 12     | a completed job was shown as running while its gang's ends came  |
--- a/features/steps/engine_runs_steps.py
+++ b/features/steps/engine_runs_steps.py
@@ -194,6 +194,17 @@
     assert context.engine.core.take_stops(context.engine.now) == [context.placement]
 
 
+@when('both members of "{name}" are accepted, and the end "{how}" of one is listed')
+def end_one_member(context, name, how):
+    context.engine.accept(context.started)
+    context.engine.end(context.started[0], how)
+
+
+@when('the end "{how}" of the other member is listed')
+def end_other_member(context, how):
+    context.engine.end(context.started[1], how)
+
+
 @when('the end "{how}" of that member is listed')
 def list_member_end(context, how):
     context.engine.end(context.placement, how)
--- a/src/firladder/_internal/engine/core.py
+++ b/src/firladder/_internal/engine/core.py
@@ -6,7 +6,7 @@
 from .leases import LATE_ORDER_S, estimate_inherited_lapse, read_recorded_lapse
 from .progress import JobProgress, restore_job
 from .reports import Reports
-from .state import TERMINAL, Job, JobState, Worker, build_job
+from .state import Job, JobState, Worker, build_job
 
 
 class Core(Reports):
@@ -85,7 +85,7 @@
         if job.cancelled:
             return
         job.cancelled = True
-        if job.terminal and job.durable >= job.version:
+        if job.settled:
             return
         # An outcome that is not durable was shown to nobody. Nodes that cannot
         # ask this leader read the records and show the job as cancelled, so any
@@ -106,7 +106,7 @@
         if job.state is JobState.CANCELLED:
             # The cancellation itself is durable before the leader hears of it.
             return job.state
-        if job.state in TERMINAL and job.durable < job.version:
+        if job.terminal and not job.settled:
             # An outcome that a successor does not know must not be shown: it
             # would run the job again, or show it as running.
             return JobState.RUNNING
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -239,6 +239,7 @@
     def _end_job(self, job: Job, state: JobState) -> None:
         job.state = state
         self._touch(job)
+        job.outcome_version = job.version
         self.note("job ended", job=job.accepted.job_id, outcome=state.value)
         self._stop_all(job)
 
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -115,13 +115,18 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Job:
-    """A job and its units. ``version`` counts changes that must be durable."""
+    """A job and its units. ``version`` counts changes that must be durable.
+
+    ``outcome_version`` is the version that has the job's outcome: later changes,
+    such as the last members of a gang that list their ends, do not alter it.
+    """
 
     accepted: AcceptedJob
     units: list[Unit] = dataclasses.field(default_factory=list)
     state: JobState = JobState.QUEUED
     version: int = 0
     durable: int = 0
+    outcome_version: int = 0
     cancelled: bool = False
     ended_at: float = 0.0
     by_step: dict[tuple[int, int], list[Unit]] = dataclasses.field(default_factory=dict)
@@ -131,6 +136,11 @@
         """Tell whether the job's outcome is settled."""
         return self.state in TERMINAL
 
+    @property
+    def settled(self) -> bool:
+        """Tell whether the job's outcome is durable, and so may be shown."""
+        return self.terminal and self.durable >= self.outcome_version
+
     def touch(self) -> None:
         """Note a change that must become durable."""
         self.version += 1
