Acknowledge no end unstored when its worker's entry lapses meanwhile

While the store was away the workers' entries lapsed; a worker with nothing at work was forgotten, and with it that an end it had listed was not stored yet. It registered again, listed the end again, which then belonged to no run and was acknowledged at once; the leader lost its key before the end was stored, and the successor ran the task again.

Ruled out: late writes of the former leader (each compares the record's revision), late looks (their acknowledgement is older), and recorded lapses (the successor's first possible one was at 17 s).

Change: a worker is kept until its ends are acknowledged, and an end of no run waits for what is known of its job.

Before: the new scenario fails (acknowledged while shown as running).

--- a/features/engine_runs.feature
+++ b/features/engine_runs.feature
@@ -59,6 +59,19 @@
     When what has changed becomes durable
     Then "a" is shown as "completed" and its end is acknowledged
 
+  Scenario: An end waits for its record also when its worker's entry lapses meanwhile
+    The store is away and the entries of workers lapse with it; an end that was read
+    is not stored yet. The worker registers again and lists the end again: taken for
+    one of no run, it was acknowledged at once, and a successor, whose records did
+    not have it, ran the finished job once more.
+    Given an engine with 2 workers of 8 accelerators
+    And job "a" of 1 task with 8 accelerators is at work
+    When the end "done" of "a" is listed
+    And its worker's entry lapses and comes back, and the end is listed again
+    Then "a" is shown as "running" and its end is not acknowledged
+    When what has changed becomes durable
+    Then "a" is shown as "completed" and its end is acknowledged
+
   Scenario: A successor asks the workers before it starts anything again
     The leader dies with a task at work. Its successor reads that the task is
     with a worker, and may not start it elsewhere before that worker has answered.
--- a/features/steps/engine_runs_steps.py
+++ b/features/steps/engine_runs_steps.py
@@ -5,7 +5,7 @@
 from firladder._internal.engine import leases
 from firladder._internal.engine.state import Phase, UnitState
 from firladder._internal.exceptions import OrderRejected, SentUnanswered
-from firladder._internal.models.order import RunningTask, TaskId
+from firladder._internal.models.order import EndedTask, RunningTask, TaskId
 
 
 @given("an engine with {count:d} workers of 8 accelerators")
@@ -224,6 +224,18 @@
     assert worker.count_durable_ends() == 0
 
 
+@when("its worker's entry lapses and comes back, and the end is listed again")
+def lapse_entry(context):
+    engine, placement = context.engine, context.placement
+    worker = engine.core.workers[placement.worker_id]
+    engine.core.unlist_worker(worker.worker_id)
+    engine.core.check_lapses(engine.now)
+    again = engine.core.see_worker(worker.entry, now=engine.now)
+    engine.now += 0.01
+    end = EndedTask(1, placement.task, placement.run, "done", "")
+    engine.report(again, [], [end])
+
+
 @then('"{name}" is shown as "{state}" and its end is acknowledged')
 def check_acknowledged(context, name, state):
     check_shown(context, name, state)
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -31,12 +31,12 @@
         if worker is None:
             return
         worker.listed = False
-        if not worker.placements:
-            del self.workers[worker_id]
+        self._forget_if_over(worker)
 
     def check_lapses(self, now: float) -> None:
         """Give up runs whose leases have ended while nobody could reach them."""
         for worker in list(self.workers.values()):
+            self._forget_if_over(worker)
             if worker.reachable or not worker.placements or now < worker.lapses_at:
                 continue
             self.note(
@@ -47,8 +47,7 @@
             )
             for placement in list(worker.placements.values()):
                 self._resolve(worker, placement, None)
-            if not worker.listed:
-                self.workers.pop(worker.worker_id, None)
+            self._forget_if_over(worker)
 
     def give_up_stalled(self, now: float) -> None:
         """End runs that stand still, so that they go on elsewhere."""
@@ -138,7 +137,9 @@
         if placement is None or placement.unit is None:
             if placement is not None:
                 del worker.placements[placement.key]
-            worker.unacknowledged.append((end.number, None, 0))
+            # It may have been read before, and be on its way to the records.
+            version = job.version if job is not None else 0
+            worker.unacknowledged.append((end.number, job, version))
             return
         unit = placement.unit
         if end.checkpoint and unit.state is UnitState.BUSY:
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -278,11 +278,21 @@
                 self._order_stop(placement)
         self._settle(unit)
 
+    def _forget_if_over(self, worker: Worker) -> None:
+        """Forget a worker that is not registered and has nothing of ours left.
+
+        Ends that were read and are not durable yet are ours: forgotten with their
+        worker, they would be acknowledged unstored when it registers again.
+        """
+        if worker.listed or worker.placements or worker.unacknowledged:
+            return
+        if self.workers.get(worker.worker_id) is worker:
+            del self.workers[worker.worker_id]
+
     def _drop(self, worker: Worker | None, placement: Placement) -> None:
         if worker is not None:
             worker.placements.pop(placement.key, None)
-            if not worker.listed and not worker.placements:
-                self.workers.pop(worker.worker_id, None)
+            self._forget_if_over(worker)
         unit = placement.unit
         if unit is not None:
             unit.placements.pop(placement.task.index, None)
