--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -58,6 +58,8 @@
         """Start the node."""
         self.ip = ip
         self.settings = settings
+        self.log_bytes = 0
+        """Bytes of log that earlier processes of this node have written."""
         super().__init__(
             name, [sys.executable, str(ROOT / "deploy" / "launch.py"), "node"], log
         )
@@ -65,6 +67,7 @@
     def _start(self) -> "subprocess.Popen[bytes]":
         environment = {**os.environ, "FIRLADDER_NODE_FILE": str(self.settings)}
         with self.log.open("ab") as log:
+            self.log_bytes = log.tell()
             return subprocess.Popen(
                 self.command,
                 cwd=ROOT,
@@ -74,6 +77,10 @@
                 start_new_session=True,
             )
 
+    def has_logged(self) -> bool:
+        """Tell whether the node's present process has written a line."""
+        return self.log.stat().st_size > self.log_bytes
+
 
 class PlatformSite:
     """Stand-ins of the platform, and nodes on addresses of their own."""
