--- /dev/null
+++ b/features/engine_days.feature
@@ -0,0 +1,25 @@
+Feature: Days of steps of tasks, played on the scheduling core
+
+  Scenario: Urgent work is in time on a full pool, far more often than by backfilling
+    A pool of four racks is full of lower work when a burst of urgent gangs comes.
+    Without evictions, whoever waits beside a customer waits for an overnight job.
+    When the day "small_pool" is played with seeds 1 and 2 by "engine" and "easy_backfill"
+    Then "engine" serves at least 0.9 of the urgent work's worth
+    And "engine" earns at least 1.2 times what "easy_backfill" earns
+    And every job that "engine" began has ended
+
+  Scenario: The same day gives the same account
+    Two planners can only be compared if nothing but the planner differs.
+    When the day "small_pool" is played with seeds 3 and 3 by "engine" and "engine"
+    Then all accounts are the same
+
+  Scenario: Workers that go take their work along, and it is done elsewhere
+    One worker in ten goes without notice on a full day.
+    When the small pool loses 5 of its workers at 8 s, with seed 4
+    Then every job has ended, and lost work is counted
+
+  Scenario: Days and planners are named in the command's table
+    When "evaluate_days --days=small_pool --planners=first_come --day_seeds=1" is run
+    Then it prints a row for "small_pool" and "first_come" with 10 more columns
+    When "evaluate_days --planners=nobody" is run
+    Then it fails and names "nobody" and "easy_backfill"
--- /dev/null
+++ b/features/steps/engine_days_steps.py
@@ -0,0 +1,90 @@
+import dataclasses
+import subprocess
+import sys
+
+from behave import then, when
+
+from firladder._internal.evaluation.day_driver import DayDriver
+from firladder._internal.evaluation.day_loads import DAYS
+from firladder._internal.evaluation.day_policies import PLANNERS
+from firladder._internal.evaluation.day_report import play_days
+from standins.site import ROOT
+
+
+@when('the day "{day}" is played with seeds {one:d} and {two:d} by {planners}')
+def play(context, day, one, two, planners):
+    first, other = (name.strip('"') for name in planners.split(" and "))
+    context.outcomes = {
+        name: play_days(day, name, [one, two]) for name in (first, other)
+    }
+
+
+@then('"{name}" serves at least {share:f} of the urgent work\'s worth')
+def check_urgent(context, name, share):
+    found = [o.by_kind["urgent"] for o in context.outcomes[name]]
+    assert min(found) >= share, found
+
+
+@then('"{name}" earns at least {factor:f} times what "{other}" earns')
+def check_earned(context, name, factor, other):
+    earned = [sum(o.earned for o in context.outcomes[n]) for n in (name, other)]
+    assert earned[0] >= factor * earned[1], earned
+
+
+@then('every job that "{name}" began has ended')
+def check_begun(context, name):
+    missed = [o.missed_by for o in context.outcomes[name]]
+    assert not any("never begun" in row for row in missed), missed
+
+
+@then("all accounts are the same")
+def check_same(context):
+    outcomes = [o for rows in context.outcomes.values() for o in rows]
+    assert len(outcomes) == 2
+    assert outcomes[0] == outcomes[1], outcomes
+
+
+@when("the small pool loses 5 of its workers at 8 s, with seed {seed:d}")
+def lose(context, seed):
+    day = DAYS.find("small_pool")(seed)
+    lost = tuple((8.0, w.worker_id) for w in day.workers[::10])
+    context.driver = DayDriver(
+        dataclasses.replace(day, lost=lost), PLANNERS.find("engine")
+    )
+    context.outcome = context.driver.run()
+
+
+@then("every job has ended, and lost work is counted")
+def check_ended(context):
+    accounts = context.driver.accounts.values()
+    left = [a.job.accepted.job_id for a in accounts if a.ended_at is None]
+    assert not left, left
+    assert context.outcome.lost_core_s > 0
+
+
+@when('"{arguments}" is run')
+def run_command(context, arguments):
+    script = (
+        "from firladder._internal.cli.main import main; import sys; sys.exit(main())"
+    )
+    command = [sys.executable, "-c", script, *arguments.split()]
+    context.command = subprocess.run(
+        command, cwd=ROOT, capture_output=True, text=True, timeout=120
+    )
+
+
+@then('it prints a row for "{day}" and "{planner}" with {count:d} more columns')
+def check_row(context, day, planner, count):
+    result = context.command
+    assert result.returncode == 0, result.stderr
+    row = result.stdout.splitlines()[-1].strip("| ").split(" | ")
+    assert row[:2] == [day, planner], row
+    assert len(row) == 2 + count, row
+
+
+@then('it fails and names "{wrong}" and "{right}"')
+def check_failure(context, wrong, right):
+    result = context.command
+    assert result.returncode != 0
+    assert wrong in result.stderr, result.stderr
+    assert right in result.stderr, result.stderr
--- a/src/firladder/_internal/commands/evaluate.py
+++ b/src/firladder/_internal/commands/evaluate.py
@@ -30,10 +30,10 @@
         wanted = settings["loads"].value
         loads = LOADS.list_names() if wanted == "all" else wanted.split(",")
         policies = settings["policies"].value.split(",")
-        _check_names("loads", loads, LOADS.list_names())
-        _check_names("policies", policies, PLACEMENTS.list_names())
-        seeds = _read_numbers("seeds", settings["seeds"].value)
-        racks = _read_numbers("racks", settings["racks"].value)
+        check_names("loads", loads, LOADS.list_names())
+        check_names("policies", policies, PLACEMENTS.list_names())
+        seeds = read_numbers("seeds", settings["seeds"].value)
+        racks = read_numbers("racks", settings["racks"].value)
         outcomes = [
             evaluate(load, policy, seeds=seeds, racks=racks)
             for load in loads
@@ -43,7 +43,8 @@
         return EXIT_OK
 
 
-def _check_names(setting: str, names: Sequence[str], known: Sequence[str]) -> None:
+def check_names(setting: str, names: Sequence[str], known: Sequence[str]) -> None:
+    """Raise ``SettingError`` for a name that is not registered."""
     if unknown := [n for n in names if n not in known]:
         raise SettingError(
             setting=f"--{setting}",
@@ -51,7 +52,8 @@
         )
 
 
-def _read_numbers(setting: str, text: str) -> list[int]:
+def read_numbers(setting: str, text: str) -> list[int]:
+    """Return numbers separated by commas; raise ``SettingError`` for others."""
     if not all(part.isdecimal() and int(part) > 0 for part in text.split(",")):
         raise SettingError(
             setting=f"--{setting}", reason="must be positive whole numbers: 1,2"
--- /dev/null
+++ b/src/firladder/_internal/commands/evaluate_days.py
@@ -0,0 +1,45 @@
+"""Put the scheduling core through seeded days and print what callers got."""
+
+import sys
+from collections.abc import Mapping, Sequence
+
+from ..cli.exits import EXIT_OK
+from ..evaluation.day_loads import DAYS
+from ..evaluation.day_policies import PLANNERS
+from ..evaluation.day_report import format_head, format_row, play_days
+from ..utils.settings import Resolved, Setting, check_text
+from .evaluate import check_names, read_numbers
+from .registry import Command
+
+
+class EvaluateDaysCommand(Command):
+    """Compare planners of steps of tasks side by side, with the same seeds."""
+
+    name = "evaluate_days"
+    settings = (
+        Setting("days", check_text, "days to play, or all", "small_pool"),
+        Setting("planners", check_text, "planners to compare, or all", "all"),
+        Setting("day_seeds", check_text, "seeds, separated by commas", "1,2,3"),
+    )
+
+    def run(self, settings: Mapping[str, Resolved], arguments: Sequence[str]) -> int:
+        """Print one row for each day and planner."""
+        days = _choose("days", settings["days"].value, DAYS.list_names())
+        known = PLANNERS.list_names()
+        planners = _choose("planners", settings["planners"].value, known)
+        seeds = read_numbers("day_seeds", settings["day_seeds"].value)
+        sys.stdout.write(format_head())
+        for day in days:
+            for planner in planners:
+                row = format_row(day, planner, play_days(day, planner, seeds))
+                sys.stdout.write(row)
+                sys.stdout.flush()
+        return EXIT_OK
+
+
+def _choose(setting: str, wanted: str, known: Sequence[str]) -> Sequence[str]:
+    if wanted == "all":
+        return known
+    names = wanted.split(",")
+    check_names(setting, names, known)
+    return names
--- a/src/firladder/_internal/commands/registry.py
+++ b/src/firladder/_internal/commands/registry.py
@@ -52,6 +52,9 @@
     "evaluate_requests": CommandInfo(
         "evaluate_requests", "EvaluateRequestsCommand", "compare request policies"
     ),
+    "evaluate_days": CommandInfo(
+        "evaluate_days", "EvaluateDaysCommand", "compare planners of steps of tasks"
+    ),
     "measure": CommandInfo("measure", "MeasureCommand", "measure what decisions cost"),
     "completion": CommandInfo("completion", "CompletionCommand", "complete in a shell"),
     "model": CommandInfo("model", "ModelCommand", "check the core protocol"),
