--- a/features/engine_days.feature
+++ b/features/engine_days.feature
@@ -18,6 +18,13 @@
     When the small pool loses 5 of its workers at 8 s, with seed 4
     Then every job has ended, and lost work is counted
 
+  Scenario: Work that saves its progress goes on where it was stopped
+    Only what was done since the last save is done again: counted from the start, a
+    stop of saved work would look as dear as one of work that loses all.
+    Given a day of one worker, on which saved work of 10 s is stopped at 4 s for 2 s
+    When the day is played by "engine"
+    Then the saved work ends within 13 s of its arrival, and nothing was lost
+
   Scenario: Days and planners are named in the command's table
     When "evaluate_days --days=small_pool --planners=first_come --day_seeds=1" is run
     Then it prints a row for "small_pool" and "first_come" with 10 more columns
--- a/features/steps/engine_days_steps.py
+++ b/features/steps/engine_days_steps.py
@@ -2,10 +2,11 @@
 import subprocess
 import sys
 
-from behave import then, when
+from behave import given, then, when
 
+from features.support.engine_world import make_step
 from firladder._internal.evaluation.day_driver import DayDriver
-from firladder._internal.evaluation.day_loads import DAYS
+from firladder._internal.evaluation.day_loads import DAYS, HEAVY, URGENT, DayJob
 from firladder._internal.evaluation.day_policies import PLANNERS
 from firladder._internal.evaluation.day_report import play_days
 from standins.site import ROOT
@@ -62,6 +63,42 @@
     assert context.outcome.lost_core_s > 0
 
 
+def make_day_job(day, kind, at, step, takes_s):
+    model = next(j.accepted for j in day.jobs if j.kind is kind)
+    workload = dataclasses.replace(model.workload, steps=(step,))
+    accepted = dataclasses.replace(model, accepted_at_s=at, workload=workload)
+    return DayJob(accepted, kind, takes_s)
+
+
+@given("a day of one worker, on which saved work of 10 s is stopped at 4 s for 2 s")
+def make_small_day(context):
+    day = DAYS.find("small_pool")(1)
+    whole = make_step(1, 8, gang=True, checkpoints=True)
+    context.day = dataclasses.replace(
+        day,
+        workers=day.workers[:1],
+        jobs=(
+            make_day_job(day, HEAVY, 0.0, whole, 10.0),
+            make_day_job(day, URGENT, 4.0, make_step(1, 8, gang=True), 2.0),
+        ),
+    )
+
+
+@when('the day is played by "{planner}"')
+def play_small_day(context, planner):
+    context.driver = DayDriver(context.day, PLANNERS.find(planner))
+    context.outcome = context.driver.run()
+
+
+@then("the saved work ends within 13 s of its arrival, and nothing was lost")
+def check_saved(context):
+    took = {a.job.kind.name: a.took_s for a in context.driver.accounts.values()}
+    assert 12.0 < took["heavy"] < 13.0, took
+    assert took["urgent"] < 3.0, took
+    assert context.outcome.lost_core_s == 0
+    assert context.outcome.evictions == 1
+
+
 @when('"{arguments}" is run')
 def run_command(context, arguments):
     script = (
--- a/src/firladder/_internal/evaluation/day_driver.py
+++ b/src/firladder/_internal/evaluation/day_driver.py
@@ -46,8 +46,8 @@
 class Account:
     """What became of a job; all times in seconds.
 
-    ``waited_s`` is until its first start, ``repeated_s`` from the first start to that
-    of the last run, ``far_s`` what the last run took longer than near its data.
+    ``first_at`` is when the last of its units began for the first time, ``last_at``
+    when a unit last began, ``far_s`` what that run took longer than near its data.
     """
 
     job: DayJob
@@ -100,6 +100,16 @@
     evictions: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Run:
+    """A run of a unit; ``saved_s`` is the work that earlier runs had saved."""
+
+    began_at: float
+    takes_s: float
+    pace: float
+    saved_s: float
+
+
 class DayDriver:
     """Plays one day under one planner."""
 
@@ -119,8 +129,9 @@
         )
         self._running: defaultdict[str, dict[tuple[TaskId, int], Placement]]
         self._running = defaultdict(dict)
+        self._begun: set[int] = set()
         self._saved: dict[int, float] = {}
-        self._takes: dict[tuple[int, int], tuple[float, float]] = {}
+        self._progress: dict[tuple[int, int], _Run] = {}
         self._pass_due = False
         for entry in day.workers:
             self.core.see_worker(entry, now=self.now)
@@ -202,15 +213,19 @@
     def _begin(self, unit: Unit) -> None:
         account = self.accounts[unit.job.accepted.job_id]
         at = self.now - START_AT
-        account.first_at = at if account.first_at is None else account.first_at
+        if id(unit) not in self._begun:
+            self._begun.add(id(unit))
+            account.first_at = at
         account.last_at = at
         racks = {self.core.workers[p.worker_id].rack for p in unit.placements.values()}
-        left = account.job.runs_s - self._saved.get(id(unit), 0.0)
+        saved_s = self._saved.get(id(unit), 0.0)
+        left_s = account.job.runs_s - saved_s
         far = unit.step.one_rack and len(unit.indices) > 1 and len(racks) > 1
-        takes = left * (FAR_FACTOR if far else 1.0)
-        account.far_s = takes - left
-        self._takes[id(unit), unit.run] = (self.now, takes)
-        self._at(self.now + takes, self._make_finish(unit, unit.run))
+        pace = FAR_FACTOR if far else 1.0
+        account.far_s = left_s * (pace - 1)
+        run = _Run(self.now, left_s * pace, pace, saved_s)
+        self._progress[id(unit), unit.run] = run
+        self._at(self.now + run.takes_s, self._make_finish(unit, unit.run))
 
     def _make_finish(self, unit: Unit, run: int) -> Callable[[], None]:
         def finish() -> None:
@@ -238,10 +253,12 @@
         unit = placement.unit
         if unit is None:
             return
-        began, _ = self._takes.get((id(unit), placement.run), (self.now, 0.0))
-        worked = self.now - began
+        run = self._progress.get((id(unit), placement.run))
+        if run is None:
+            return
+        worked = self.now - run.began_at
         if unit.step.checkpoints:
-            self._saved[id(unit)] = max(self._saved.get(id(unit), 0.0), worked)
+            self._saved[id(unit)] = run.saved_s + worked / run.pace
             return
         need = placement.need
         cores = need.cpu_milli / 1000 + need.accelerators * ACCELERATOR_CORES
@@ -274,11 +291,10 @@
         self.core.read_report(worker, report, sent_at=self.now, now=self.now)
 
     def _find_percent(self, placement: Placement) -> int:
-        key = (id(placement.unit), placement.run)
-        if key not in self._takes:
+        run = self._progress.get((id(placement.unit), placement.run))
+        if run is None:
             return 0
-        began, takes = self._takes[key]
-        return min(99, int(100 * (self.now - began) / takes))
+        return min(99, int(100 * (self.now - run.began_at) / run.takes_s))
 
     def _sum_up(self) -> DayOutcome:
         owed: defaultdict[str, float] = defaultdict(float)
