Wait for targets before a site counts as started; measure the overview's own work

(2) The overview of commands took 0.30 to 0.65 s by the clock; run by itself beside the same load it took 0.26 to 0.38 s by the clock and 0.11 to 0.15 s of processor time, so that the check measured the machine.

Changes: a site waits until each target listens. The overview's check is of the processor time that the process used, under 0.2 s instead of 0.3 s by the clock: loading the network libraries alone takes 0.34 s of it, so the fault is found as before.

--- a/features/product_cli.feature
+++ b/features/product_cli.feature
@@ -4,7 +4,7 @@
     Operators look commands up in the middle of an incident, on small and busy
     VMs. When every command's libraries are loaded for it, the answer hangs.
     When the overview of commands is asked for 7 times
-    Then the fastest answer took under 0.3 s
+    Then the cheapest answer took under 0.2 s of processor time
 
   Scenario Outline: A mistyped name is met with the nearest one
     A typing mistake that is passed over in silence runs the command with its
--- a/features/steps/product_cli_steps.py
+++ b/features/steps/product_cli_steps.py
@@ -2,12 +2,12 @@
 import json
 import os
 import re
+import resource
 import shlex
 import subprocess
 import sys
 import tempfile
 import threading
-import time
 from pathlib import Path
 
 from behave import given, then, when
@@ -89,16 +89,21 @@
             self.server.server_close()
 
 
+def read_children_s() -> float:
+    used = resource.getrusage(resource.RUSAGE_CHILDREN)
+    return used.ru_utime + used.ru_stime
+
+
 @when("the overview of commands is asked for {count:d} times")
 def time_overview(context, count):
     context.spent = []
     for _ in range(count):
-        started = time.monotonic()
+        started = read_children_s()
         CommandRun(["--help"]).check(0, "usage: firladder")
-        context.spent.append(time.monotonic() - started)
+        context.spent.append(read_children_s() - started)
 
 
-@then("the fastest answer took under {limit:f} s")
+@then("the cheapest answer took under {limit:f} s of processor time")
 def check_overview(context, limit):
     assert min(context.spent) < limit, context.spent
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -182,6 +182,9 @@
             self.start_vm(vm)
         for name in self.list_gateways():
             wait_for(lambda n=name: self._is_live(n), what=f"{name} is live")
+        for machine in self.machines:
+            if machine["role"] == "target":
+                self._wait_for_target(machine["address"])
 
     def start_store(self) -> None:
         """Start the stand-in of the platform's store."""
@@ -189,6 +192,10 @@
         self._spawn("store", "standins.store", "--address", self.addresses["store"])
         wait_for(lambda: call(self.addresses["store"], "GET", "/calls"), what="store")
 
+    def _wait_for_target(self, address: str) -> None:
+        """Wait until a target listens; on a busy machine gateways are live before."""
+        wait_for(lambda: call(address, "GET", "/control/runs"), what=address)
+
     def _start_targets(self, domain: str) -> None:
         layout = self.layout
         for number in range(layout.targets):
