--- a/src/firladder/_internal/evaluation/day_policies.py
+++ b/src/firladder/_internal/evaluation/day_policies.py
@@ -9,7 +9,7 @@
 from ..policies.registry import Registry
 
 RECLAIM_S = 3.4
-"""Seconds within which guaranteed work must begin, as the users' sheets say."""
+"""Seconds within which guaranteed work must begin on the larger hvk site."""
 
 PLANNERS: Registry[Callable[[Core], Planner]] = Registry("planner")
 """Each makes a planner for a core."""
@@ -29,7 +29,7 @@
 
 @PLANNERS.register("easy_backfill")
 def make_easy_backfill(core: Core) -> Planner:
-    """Return a planner that evicts nothing and keeps room for the first gang."""
+    """Return a planner that evicts nothing and keeps room for waiting gangs."""
     return BackfillPlanner(core, reclaim_s=RECLAIM_S)
 
 
@@ -47,7 +47,7 @@
 
 
 class BackfillPlanner(Planner):
-    """First come first served with one reservation, and no evictions."""
+    """First come first served, with room kept for waiting gangs; evicts nothing."""
 
     def _make_room(self, unit: Unit, pool: list[Candidate], now: float) -> bool:
         return False
@@ -59,6 +59,8 @@
 class FirstComePlanner(BackfillPlanner):
     """Nothing begins while something that came before it waits."""
 
+    _closed = False
+
     def run_pass(self, *, now: float, wall: float) -> int:
         """Plan a pass in which the first unit without room closes the pool."""
         self._closed = False
