Count a failed run by its number, also after its run or its leader is gone

Cause: a unit kept a mark 'this run has failed' until its last member had ended, and only then counted an attempt. The mark was not in the job's record: a leader that stored and acknowledged the failure of a gang's member and died while the others still stopped, left a successor that counted nothing. And an end that was listed after its run had been given up (out of reach until the leases had ended) was acknowledged uncounted.

Change: a unit keeps the numbers of its failed runs; they are in the record, are noted when an end is read, whatever became of the run, and each counts once.

An end that is listed only after the next start still comes too late.

--- a/features/engine_runs.feature
+++ b/features/engine_runs.feature
@@ -183,6 +183,7 @@
     And no task ever runs twice at once or after it is done
     And every order carries a higher run number than the last one of its task
     And no member of a gang starts under an older run than its mates
+    And no task starts whose attempts are used up
 
     Examples:
       | events | seed |
@@ -191,6 +192,21 @@
       | 1500   | 3    |
       | 1500   | 4    |
 
+  Scenario Outline: No task is started beyond its attempts through any order of events
+    The same events, and every other job fails whenever it runs. A failure that is
+    forgotten with its leader or its lost worker starts a hopeless job once more: it
+    takes room, and its caller hears of the failure later.
+    When <events> random events reach an engine with hopeless jobs, seed <seed>
+    Then no worker is ever over its capacity
+    And no task ever runs twice at once or after it is done
+    And no task starts whose attempts are used up
+
+    Examples:
+      | events | seed |
+      | 1500   | 31   |
+      | 1500   | 36   |
+      | 1500   | 51   |
+
   Scenario: Drawn histories break neither room nor runs nor gangs
     The same events as above, drawn by a library that seeks rare mixtures and can cut
     a failing history down. A caller would see a task run twice, or not at all.
--- a/features/steps/engine_runs_steps.py
+++ b/features/steps/engine_runs_steps.py
@@ -347,6 +347,12 @@
     context.chaos.play(events)
 
 
+@when("{events:d} random events reach an engine with hopeless jobs, seed {seed:d}")
+def play_hopeless(context, events, seed):
+    context.chaos = Chaos(random.Random(seed), hopeless=True)
+    context.chaos.play(events)
+
+
 @when("hypothesis draws {examples:d} histories of {events:d} events")
 def play_histories(context, examples, events):
     context.histories = []
@@ -401,3 +407,8 @@
 @then("no member of a gang starts under an older run than its mates")
 def check_gangs(context):
     find_problems(context, "member")
+
+
+@then("no task starts whose attempts are used up")
+def check_attempts(context):
+    find_problems(context, "attempts")
--- a/features/support/engine_chaos.py
+++ b/features/support/engine_chaos.py
@@ -35,8 +35,10 @@
 class Chaos:
     """Plays random events; ``problems`` lists the promises that were broken."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, *, hopeless: bool = False) -> None:
+        """Prepare; with ``hopeless`` every other job fails whenever it runs."""
         self.rng = rng
+        self.hopeless = hopeless
         self.world = EngineWorld(0)
         self.world.entries = []
         self.sims: dict[str, SimulatedWorker] = {}
@@ -47,6 +49,7 @@
         self.noted: set = set()
         self.runs: dict = {}
         self.gang_runs: dict = {}
+        self.failed: dict = {}
         self.token = 1
         self.problems: list[str] = []
         self.numbers = 0
@@ -168,6 +171,14 @@
             self.problems.append(f"run number used again: {task} {placement.run}")
         self.runs[task] = placement.run
         self.check_gang(placement)
+        self.check_attempts(placement)
+
+    def check_attempts(self, placement) -> None:
+        """Compare a start with the failures that workers were told to forget."""
+        failed = self.failed.get(placement.task, set())
+        job = self.world.accepted[placement.task.job_id]
+        if len(failed) >= job.max_attempts:
+            self.problems.append(f"attempts used up: {placement.task} {failed}")
 
     def check_gang(self, placement) -> None:
         """Compare a member's run with what other members of its gang were told.
@@ -236,6 +247,9 @@
         the leader may by then have started the task elsewhere, and rightly so.
         """
         self.noted |= {(e.task, e.run) for e in sim.noted if e.ending == "done"}
+        for end in sim.noted:
+            if end.ending == "failed":
+                self.failed.setdefault(end.task, set()).add(end.run)
         sim.noted.clear()
         for task, run in self.noted & self.again:
             self.problems.append(f"started after done: {task} {run}")
@@ -250,6 +264,8 @@
             return
         task, run = self.rng.choice(list(sim.running))
         how = self.rng.choices(["done", "failed"], [6, 1])[0]
+        if self.hopeless and int(task.job_id, 16) % 2:
+            how = "failed"
         for other in self.sims.values():
             for key in list(other.running):
                 same = key[0] == task or self.is_gang_mate(other.running[key], task)
--- a/src/firladder/_internal/engine/progress.py
+++ b/src/firladder/_internal/engine/progress.py
@@ -23,7 +23,7 @@
     number: int
     state: str
     run: int
-    failures: int
+    failed_runs: tuple[int, ...]
     checkpoint: str
     placed: tuple[PlacedTask, ...]
 
@@ -70,7 +70,7 @@
             number,
             unit.state.value,
             unit.run,
-            unit.failures,
+            tuple(sorted(unit.failed_runs)),
             unit.checkpoint,
             tuple(PlacedTask(i, p.worker_id) for i, p in unit.placements.items()),
         )
@@ -108,7 +108,7 @@
 def _restore_unit(unit: Unit, recorded: UnitProgress) -> None:
     unit.state = UnitState(recorded.state)
     unit.run = recorded.run
-    unit.failures = recorded.failures
+    unit.failed_runs = set(recorded.failed_runs)
     unit.checkpoint = recorded.checkpoint
     for placed in recorded.placed:
         unit.placements[placed.index] = Placement(
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -4,7 +4,7 @@
 from ..models.workload import WorkerEntry
 from .health import blame_worker, clear_blame, is_stalled, note_percent
 from .runs import Runs
-from .state import Phase, Placement, Unit, UnitState, Worker
+from .state import Phase, Placement, Unit, UnitState, Worker, find_unit
 
 
 class Reports(Runs):
@@ -134,6 +134,8 @@
     def _read_end(self, worker: Worker, end: EndedTask, now: float) -> None:
         placement = worker.placements.get((end.task, end.run))
         job = self.jobs.get(end.task.job_id)
+        if job is not None and end.ending == "failed":
+            self._count_failure(find_unit(job, end.task), end.run)
         if placement is None or placement.unit is None:
             if placement is not None:
                 del worker.placements[placement.key]
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -92,7 +92,6 @@
         """Give a unit's tasks to workers under a new run number."""
         unit.run += 1
         unit.state = UnitState.BUSY
-        unit.run_failed = False
         for index, worker_id in zip(unit.indices, workers, strict=True):
             task = unit.name_task(index)
             placement = Placement(
@@ -313,8 +312,6 @@
             unit.state = UnitState.DONE
             self._check_completed(unit.job)
             return
-        if ending == "failed":
-            unit.run_failed = True
         self.note(
             "run ended",
             job=unit.job.accepted.job_id,
@@ -331,12 +328,27 @@
         if unit.placements or unit.state is not UnitState.BUSY:
             return
         unit.state = UnitState.WAITING
-        job = unit.job
-        if not unit.run_failed:
+        self._check_attempts(unit)
+
+    def _count_failure(self, unit: Unit | None, run: int) -> None:
+        """Note that a run failed, also when it was given up before.
+
+        A worker that comes back lists what had ended while nobody could reach it,
+        and a successor reads ends that its predecessor knew. A failure that counted
+        only with its run's room would be forgotten with either, and the task be
+        started beyond its attempts.
+        """
+        if unit is None or unit.step.lasting or unit.state is UnitState.DONE:
             return
-        unit.run_failed = False
-        unit.failures += 1
-        if unit.step.lasting or job.terminal:
+        if run in unit.failed_runs:
+            return
+        unit.failed_runs.add(run)
+        self._touch(unit.job)
+        self._check_attempts(unit)
+
+    def _check_attempts(self, unit: Unit) -> None:
+        job = unit.job
+        if unit.state is not UnitState.WAITING or job.terminal:
             return
         if unit.failures >= job.accepted.max_attempts:
             unit.state = UnitState.FAILED
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -74,7 +74,12 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Unit:
-    """What starts and ends together: a whole gang, or one task of another step."""
+    """What starts and ends together: a whole gang, or one task of another step.
+
+    ``failed_runs`` names the runs of which a task failed. They are numbers, not a
+    count: a run's failure may be listed by several members, again to a successor, and
+    long after the run was given up.
+    """
 
     job: "Job"
     occurrence: int
@@ -82,12 +87,11 @@
     indices: tuple[int, ...]
     state: UnitState = UnitState.WAITING
     run: int = 0
-    failures: int = 0
+    failed_runs: set[int] = dataclasses.field(default_factory=set)
     checkpoint: str = ""
     checkpoint_at: float = 0.0
     ready_at: float = -1.0
     placements: dict[int, Placement] = dataclasses.field(default_factory=dict)
-    run_failed: bool = False
     planned_version: int = 0
     avoided: set[str] = dataclasses.field(default_factory=set)
 
@@ -100,6 +104,11 @@
         """Return the id of one of the unit's tasks."""
         return TaskId(self.job.accepted.job_id, self.occurrence, self.step_index, index)
 
+    @property
+    def failures(self) -> int:
+        """Return how many attempts have failed."""
+        return len(self.failed_runs)
+
     @property
     def working(self) -> bool:
         """Tell whether all tasks of the unit are at work."""
@@ -163,6 +172,12 @@
     return job
 
 
+def find_unit(job: Job, task: TaskId) -> Unit | None:
+    """Return the unit that a task belongs to, or None if the job has no such task."""
+    units = job.by_step.get((task.occurrence, task.step), [])
+    return next((unit for unit in units if task.index in unit.indices), None)
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Worker:
     """A worker as its leader sees it. Times are the leader's own clock.
