Split the four largest modules, and register planners as classes

Change: what knows one gang's members and commands them (members.py), what follows a failure domain's workers (following.py), what admits and queues requests (queues.py), and what weighs lent work and chooses victims (lending.py) are base classes of their own; the registered ways to reclaim are in reclaiming.py. Code was moved, not changed, but that a gang's confirmation is called by its runner and no longer by its start, and that following has its own name for its pause of 0.25 s.

--- a/features/steps/protocol_attempt_steps.py
+++ b/features/steps/protocol_attempt_steps.py
@@ -5,7 +5,7 @@
 
 from features.support.protocol import GangBench
 from firladder._internal.models.task import TaskStatus
-from firladder._internal.scheduler import gangs
+from firladder._internal.scheduler import members
 from firladder._internal.scheduler.gang_messages import MemberEnded, StopGang
 
 
@@ -65,7 +65,7 @@
         seen.append(bench.books.avoid["job"])
         return not seen[-1]
 
-    with mock.patch.object(gangs, "AVOID_S", avoid_s):
+    with mock.patch.object(members, "AVOID_S", avoid_s):
         run_attempt(bench, lambda: fail_member(bench), then=is_allowed)
     assert seen[0] == {"w0"}, "the worker was not avoided at all"
 
--- a/features/support/golden_job.py
+++ b/features/support/golden_job.py
@@ -12,12 +12,12 @@
 from firladder._internal.models.task import TaskStatus, WorkerReport
 from firladder._internal.policies.placement import PLACEMENTS, Place
 from firladder._internal.scheduler.books import Books, GangState, WorkerState
-from firladder._internal.scheduler.gangs import (
-    GangRunner,
+from firladder._internal.scheduler.gang_messages import (
     GangTimes,
     MemberEnded,
     StopGang,
 )
+from firladder._internal.scheduler.gangs import GangRunner
 from firladder._internal.scheduler.ledger import PREFIX, Ledger
 from firladder._internal.utils.clocks import LogicalClock
 from firladder._internal.utils.codec import encode_json
--- a/src/firladder/_internal/evaluation/day_driver.py
+++ b/src/firladder/_internal/evaluation/day_driver.py
@@ -19,6 +19,10 @@
 from .day_loads import DAY_S, FILLED_AT_S, Day, DayJob
 
 HOLD_S = 6.0
+
+RECLAIM_S = 3.4
+"""Seconds within which guaranteed work must begin on the larger hvk site."""
+
 START_S = 0.06
 """Seconds from a plan to the task at work: a write to the store and an order."""
 
@@ -113,12 +117,12 @@
 class DayDriver:
     """Plays one day under one planner."""
 
-    def __init__(self, day: Day, make_planner: Callable[[Core], Planner]) -> None:
+    def __init__(self, day: Day, planner: type[Planner]) -> None:
         """Prepare; all workers are known and empty."""
         self.now = START_AT + FILLED_AT_S
         self.core = Core(hold_s=HOLD_S, note=self._note)
         self.core.configuration = day.configuration
-        self.planner = make_planner(self.core)
+        self.planner = planner(self.core, reclaim_s=RECLAIM_S)
         self.accounts = {j.accepted.job_id: Account(j) for j in day.jobs}
         self.lost_core_s = 0.0
         self.evictions = 0
--- a/src/firladder/_internal/evaluation/day_policies.py
+++ b/src/firladder/_internal/evaluation/day_policies.py
@@ -1,44 +1,19 @@
 """Ways to plan a day: the planner as it is, its parts left out, and baselines."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
-from ..engine.core import Core
 from ..engine.placement import Candidate
 from ..engine.planning import Planner
 from ..engine.state import Unit
 from ..policies.registry import Registry
 
-RECLAIM_S = 3.4
-"""Seconds within which guaranteed work must begin on the larger hvk site."""
+PLANNERS: Registry[type[Planner]] = Registry("planner")
+"""Kinds of planners; "engine" is the one that leaders run."""
 
-PLANNERS: Registry[Callable[[Core], Planner]] = Registry("planner")
-"""Each makes a planner for a core."""
-
-
-@PLANNERS.register("engine")
-def make_engine(core: Core) -> Planner:
-    """Return the planner that leaders run."""
-    return Planner(core, reclaim_s=RECLAIM_S)
+PLANNERS.register("engine")(Planner)
 
 
 @PLANNERS.register("impatient")
-def make_impatient(core: Core) -> Planner:
-    """Return a planner that reclaims guaranteed accelerators at once."""
-    return ImpatientPlanner(core, reclaim_s=RECLAIM_S)
-
-
-@PLANNERS.register("easy_backfill")
-def make_easy_backfill(core: Core) -> Planner:
-    """Return a planner that evicts nothing and keeps room for waiting gangs."""
-    return BackfillPlanner(core, reclaim_s=RECLAIM_S)
-
-
-@PLANNERS.register("first_come")
-def make_first_come(core: Core) -> Planner:
-    """Return a planner that evicts nothing and lets nobody overtake."""
-    return FirstComePlanner(core, reclaim_s=RECLAIM_S)
-
-
 class ImpatientPlanner(Planner):
     """Reclaims at once, whatever is lost."""
 
@@ -46,6 +21,7 @@
         return self._is_guaranteed(unit)
 
 
+@PLANNERS.register("easy_backfill")
 class BackfillPlanner(Planner):
     """First come first served, with room kept for waiting gangs; evicts nothing."""
 
@@ -56,6 +32,7 @@
         return (unit.job.accepted.accepted_at_s, unit.step_index, unit.indices[0])
 
 
+@PLANNERS.register("first_come")
 class FirstComePlanner(BackfillPlanner):
     """Nothing begins while something that came before it waits."""
 
--- a/src/firladder/_internal/evaluation/day_report.py
+++ b/src/firladder/_internal/evaluation/day_report.py
@@ -13,10 +13,10 @@
 
 def play_days(day: str, planner: str, seeds: Sequence[int]) -> list[DayOutcome]:
     """Play a registered day under a registered planner, once a seed."""
-    make_day, make_planner = DAYS.find(day), PLANNERS.find(planner)
-    if make_day is None or make_planner is None:
+    make_day, kind = DAYS.find(day), PLANNERS.find(planner)
+    if make_day is None or kind is None:
         raise ValueError(f"no day {day!r} or planner {planner!r}")
-    return [DayDriver(make_day(seed), make_planner).run() for seed in seeds]
+    return [DayDriver(make_day(seed), kind).run() for seed in seeds]
 
 
 def format_head() -> str:
--- /dev/null
+++ b/src/firladder/_internal/gateway/queues.py
@@ -0,0 +1,193 @@
+"""Admit requests and queue them, in an order that may change until they are sent."""
+
+import asyncio
+import heapq
+import itertools
+import random
+from collections import Counter
+
+from ..charts.interpreter import Chart, ChartInstance
+from ..etcd.targets import TargetClient
+from ..exceptions import (
+    DeadlineUnreachable,
+    Draining,
+    Failure,
+    NoTarget,
+)
+from ..fleet.configuration import ConfigurationHolder
+from ..models.configuration import Organisation
+from ..models.request import ServiceRequest
+from ..policies.dispatching import DispatchPolicies, ServiceQueues
+from ..policies.requests import WaitingRequest
+from ..policies.retrying import RetryBudget
+from ..policies.selection import Steering
+from ..utils.clocks import Clock
+from ..utils.events import Event, Timeline
+from ..utils.tasks import TaskSet
+from .pending import Pending
+from .targets import TargetTable
+
+NO_TARGET_RETRY_S = 5.0
+
+ENDED_DEADLINES = 1000
+"""Deadlines of ended requests that may lie about before they are cleared."""
+
+
+class RequestQueues:
+    """The queues of all services of a gateway, and who gets into them."""
+
+    def __init__(
+        self,
+        *,
+        targets: TargetTable,
+        client: TargetClient,
+        configuration: ConfigurationHolder,
+        chart: Chart,
+        clock: Clock,
+        rng: random.Random,
+        timeline: Timeline,
+        policies: DispatchPolicies,
+        queue_limit: int,
+    ) -> None:
+        """Prepare; ``run`` must run for anything to be sent."""
+        self._targets = targets
+        self._client = client
+        self._configuration = configuration
+        self._chart = chart
+        self._clock = clock
+        self._rng = rng
+        self._timeline = timeline
+        self._policies = policies
+        self._queue_limit = queue_limit
+        self._services: dict[str, ServiceQueues] = {}
+        self._pending: dict[str, Pending] = {}
+        self._deadlines: list[tuple[float, str]] = []
+        self._numbers = itertools.count(1)
+        self._wake = asyncio.Event()
+        self._tasks = TaskSet()
+        self._budget = RetryBudget()
+        self._ends_at: float | None = None
+        self.in_flight: Counter[str] = Counter()
+
+    def count_demand(self) -> dict[str, int]:
+        """Return the requests queued and in flight, by service."""
+        queued = {name: len(s) for name, s in self._services.items()}
+        return dict(Counter(queued) + self.in_flight)
+
+    def count_queued(self) -> int:
+        """Return the number of requests that wait."""
+        return sum(len(s) for s in self._services.values())
+
+    def check(
+        self, service: str, steering: Steering, deadline: float
+    ) -> Failure | None:
+        """Return why a request would be refused now, without queueing it."""
+        waiting = self._describe("", steering, deadline)
+        return self._admit(service, steering, waiting)
+
+    def submit(
+        self,
+        service: str,
+        req: ServiceRequest,
+        steering: Steering,
+        *,
+        request_id: str,
+        deadline: float,
+    ) -> Pending | Failure:
+        """Queue a request, or return why it is refused."""
+        # Two idempotent requests may carry one id; the key tells them apart.
+        waiting = self._describe(str(next(self._numbers)), steering, deadline)
+        failure = self._admit(service, steering, waiting)
+        if failure is not None:
+            return failure
+        pending = Pending(
+            waiting,
+            request_id,
+            service,
+            req,
+            steering,
+            ChartInstance(self._chart),
+            asyncio.get_running_loop().create_future(),
+        )
+        pending.chart.fire("claim")
+        pending.chart.fire("queue")
+        self._timeline.record(
+            Event.REQUEST_ADMITTED, request=request_id, service=service
+        )
+        self._budget.earn()
+        self._pending[waiting.id] = pending
+        self._note_deadline(deadline, waiting.id)
+        self._enqueue(pending)
+        return pending
+
+    def _note_deadline(self, deadline: float, key: str) -> None:
+        if len(self._deadlines) > ENDED_DEADLINES + 2 * len(self._pending):
+            # Requests that ended early leave their deadlines behind, up to
+            # ten minutes each; at full speed they would fill the memory.
+            self._deadlines = [d for d in self._deadlines if d[1] in self._pending]
+            heapq.heapify(self._deadlines)
+        heapq.heappush(self._deadlines, (deadline, key))
+
+    def _describe(
+        self, key: str, steering: Steering, deadline: float
+    ) -> WaitingRequest:
+        return WaitingRequest(
+            key,
+            steering.organisation,
+            steering.urgency,
+            self._clock.read_monotonic(),
+            deadline,
+            self._find_organisation(steering).weight,
+        )
+
+    def _find_organisation(self, steering: Steering) -> Organisation:
+        known = self._configuration.current.organisations
+        return known.get(steering.organisation) or Organisation()
+
+    def _admit(
+        self, service: str, steering: Steering, waiting: WaitingRequest
+    ) -> Failure | None:
+        now = waiting.arrived_at
+        if self._ends_at is not None and waiting.deadline > self._ends_at:
+            # A connection kept open may still bring requests; those that fit
+            # into the time left are served, the others would be cut.
+            return Draining(reason="this gateway is stopping", retry_after_s=1.0)
+        if waiting.deadline <= now:
+            return _tell_too_late()
+        room = self._targets.measure_room(
+            service, steering.targets, self._configuration.current
+        )
+        if not room:
+            return NoTarget(
+                reason=f"no target of {service!r}", retry_after_s=NO_TARGET_RETRY_S
+            )
+        return self._find_service(service).admit(
+            waiting,
+            room=room,
+            in_flight=self.in_flight[service],
+            expected_s=self._targets.expect_latency(service),
+            request_share=self._find_organisation(steering).request_share,
+            rng=self._rng,
+        )
+
+    def _find_service(self, service: str) -> ServiceQueues:
+        found = self._services.get(service)
+        if found is None:
+            found = ServiceQueues(self._policies, queue_limit=self._queue_limit)
+            self._services[service] = found
+        return found
+
+    def _enqueue(self, pending: Pending) -> None:
+        service = self._find_service(pending.service)
+        service.push(pending.waiting, pending.steering.targets)
+        self._wake.set()
+
+    def begin_drain(self, ends_at: float) -> None:
+        """Take only what can end before a monotonic time from now on."""
+        self._ends_at = ends_at
+
+
+def _tell_too_late() -> DeadlineUnreachable:
+    return DeadlineUnreachable(
+        reason="the deadline is too near for a target's answer", retry_after_s=1.0
+    )
--- a/src/firladder/_internal/policies/ladder.py
+++ b/src/firladder/_internal/policies/ladder.py
@@ -24,7 +24,7 @@
     place_gang,
 )
 from .quarantine import is_at_fault
-from .reclaim import RECLAIMS
+from .reclaiming import RECLAIMS
 
 RESERVATIONS = 3
 """Waiting gangs that hold a reservation at once, so that several large jobs gather
--- /dev/null
+++ b/src/firladder/_internal/policies/lending.py
@@ -0,0 +1,103 @@
+"""Which work was lent room, what its eviction would lose, and whom to evict."""
+
+from collections.abc import Iterable
+
+from .cells import Board
+from .placement import Evict, QueuedJob, RunningJob
+
+RESTART_S = 30.0
+"""Seconds of a gang's time that a checkpoint and restart are taken to cost; what
+a checkpointable gang loses, so that it is evicted before one that cannot save."""
+
+
+class Lending:
+    """The borrowers of one placement pass, and those who must leave in it."""
+
+    def __init__(self, board: Board) -> None:
+        """Weigh what the eviction of each running gang would lose."""
+        self.board = board
+        self.victims: dict[str, Evict] = {}
+        self._guarded = board.list_guarded()
+        self._coming: dict[str, int] = {}
+        self._losses = {
+            g.spec.id: 0.0 if g.evicting else count_loss(g, board.view.now)
+            for g in board.view.running
+        }
+
+    def is_lent(self, gang: RunningJob) -> bool:
+        """Tell whether a gang may be evicted for an owner."""
+        return gang.spec.id not in self._guarded
+
+    def is_leaving(self, gang: RunningJob) -> bool:
+        """Tell whether a gang is on its way out already."""
+        return gang.evicting or gang.spec.id in self.victims
+
+    def cost(self, worker: str) -> float:
+        """Return the work lost if all borrowers of a worker were evicted."""
+        return sum(
+            self._losses[g.spec.id]
+            for g, _ in self.board.benches[worker].holds
+            if self.is_lent(g) and g.spec.id not in self.victims
+        )
+
+    def _count_part_loss(self, worker: str, job: QueuedJob) -> float:
+        victims = self._choose_victims(worker, job, job.spec.members)
+        return sum(self._losses[g.spec.id] for g in victims)
+
+    def _count_new_loss(self, worker: str, lost: set[str]) -> float:
+        return sum(
+            self._losses[g.spec.id]
+            for g, _ in self.board.benches[worker].holds
+            if self.is_lent(g) and g.spec.id not in {*self.victims, *lost}
+        )
+
+    def _choose_victims(
+        self, worker: str, job: QueuedJob, count: int
+    ) -> list[RunningJob]:
+        """Return the borrowers to evict so that the members fit, cheapest first."""
+        bench, spec = self.board.benches[worker], job.spec
+        leaving = [(g, n) for g, n in bench.holds if self.is_leaving(g)]
+        accelerators = (
+            count * spec.accelerators
+            - len(bench.room.free)
+            - sum(n for _, n in leaving)
+            + self._coming.get(worker, 0)
+        )
+        cpus = count * spec.cpus - bench.room.cpus - _sum_cpus(leaving)
+        memory = count * spec.memory_mb - bench.room.memory_mb - _sum_memory(leaving)
+        lent: dict[str, tuple[RunningJob, int]] = {}
+        for gang, held in bench.holds:
+            if self.is_lent(gang) and not self.is_leaving(gang):
+                known = lent.get(gang.spec.id, (gang, 0))[1]
+                lent[gang.spec.id] = (gang, known + held)
+        ordered = sorted(lent.values(), key=lambda item: self._rank_victim(*item))
+        chosen: list[RunningJob] = []
+        for gang, held in ordered:
+            if accelerators <= 0 and cpus <= 0 and memory <= 0:
+                break
+            if held == 0 and cpus <= 0 and memory <= 0:
+                continue
+            chosen.append(gang)
+            accelerators -= held
+            members = sum(m.worker == worker for m in gang.members)
+            cpus -= members * gang.spec.cpus
+            memory -= members * gang.spec.memory_mb
+        return chosen
+
+    def _rank_victim(self, gang: RunningJob, held: int) -> tuple[float, str]:
+        return self._losses[gang.spec.id] / max(1, held), gang.spec.id
+
+
+def count_loss(gang: RunningJob, now: float) -> float:
+    """Return the accelerator seconds of work that an eviction would throw away."""
+    held = sum(max(1, len(m.accelerators)) for m in gang.members)
+    ran_s = max(0.0, now - gang.started_at)
+    return held * (min(RESTART_S, ran_s) if gang.spec.checkpointable else ran_s)
+
+
+def _sum_cpus(holds: Iterable[tuple[RunningJob, int]]) -> int:
+    return sum(g.spec.cpus for g, _ in holds)
+
+
+def _sum_memory(holds: Iterable[tuple[RunningJob, int]]) -> int:
+    return sum(g.spec.memory_mb for g, _ in holds)
--- a/src/firladder/_internal/policies/reclaim.py
+++ b/src/firladder/_internal/policies/reclaim.py
@@ -7,18 +7,14 @@
 
 import dataclasses
 import itertools
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 
 from ..models.job import Member
 from .backfill import Chooser
 from .cells import Bench, Board
 from .fitting import Slot
-from .placement import Action, Evict, Place, QueuedJob, RunningJob
-from .registry import Registry
-
-RESTART_S = 30.0
-"""Seconds of a gang's time that a checkpoint and restart are taken to cost; what
-a checkpointable gang loses, so that it is evicted before one that cannot save."""
+from .lending import Lending
+from .placement import Action, Evict, Place, QueuedJob
 
 FRESH_S = 2.0
 """Seconds for which a job counts as just come: a few placement passes."""
@@ -36,14 +32,7 @@
     members: tuple[tuple[str, int], ...]
 
 
-def count_loss(gang: RunningJob, now: float) -> float:
-    """Return the accelerator seconds of work that an eviction would throw away."""
-    held = sum(max(1, len(m.accelerators)) for m in gang.members)
-    ran_s = max(0.0, now - gang.started_at)
-    return held * (min(RESTART_S, ran_s) if gang.spec.checkpointable else ran_s)
-
-
-class Reclaimer:
+class Reclaimer(Lending):
     """Claims of one placement pass, in the order of the queue."""
 
     def __init__(
@@ -54,38 +43,15 @@
         choose: Chooser,
     ) -> None:
         """Plan for the jobs in ``queue``, sparing workers kept for a large gang."""
-        self.board = board
-        self.victims: dict[str, Evict] = {}
-        self._guarded = board.list_guarded()
-        self._coming: dict[str, int] = {}
+        super().__init__(board)
         self._reserved = reserved
         self._choose = choose
         self._awaited = {j.organisation for j in queue if self._is_large(j)}
-        self._losses = {
-            g.spec.id: 0.0 if g.evicting else count_loss(g, board.view.now)
-            for g in board.view.running
-        }
 
     def _is_large(self, job: QueuedJob) -> bool:
         size = max((b.accelerators for b in self.board.bays.values()), default=0)
         return 0 < size <= job.spec.accelerators
 
-    def is_lent(self, gang: RunningJob) -> bool:
-        """Tell whether a gang may be evicted for an owner."""
-        return gang.spec.id not in self._guarded
-
-    def is_leaving(self, gang: RunningJob) -> bool:
-        """Tell whether a gang is on its way out already."""
-        return gang.evicting or gang.spec.id in self.victims
-
-    def cost(self, worker: str) -> float:
-        """Return the work lost if all borrowers of a worker were evicted."""
-        return sum(
-            self._losses[g.spec.id]
-            for g, _ in self.board.benches[worker].holds
-            if self.is_lent(g) and g.spec.id not in self.victims
-        )
-
     def claim(self, job: QueuedJob) -> list[Action] | None:
         """Return what starts the job in its organisation's shape, or None.
 
@@ -196,10 +162,6 @@
         )
         return (Site(slot, ((n, spec.members),)) for n in ordered)
 
-    def _count_part_loss(self, worker: str, job: QueuedJob) -> float:
-        victims = self._choose_victims(worker, job, job.spec.members)
-        return sum(self._losses[g.spec.id] for g in victims)
-
     def _rank_equal(self, worker: str, job: QueuedJob) -> tuple[bool, bool]:
         """Rank workers on which the same work would be lost.
 
@@ -294,13 +256,6 @@
             left -= count
         yield cost, Site(slot, tuple(sorted(chosen)))
 
-    def _count_new_loss(self, worker: str, lost: set[str]) -> float:
-        return sum(
-            self._losses[g.spec.id]
-            for g, _ in self.board.benches[worker].holds
-            if self.is_lent(g) and g.spec.id not in {*self.victims, *lost}
-        )
-
     def _try_bind(self, site: Site, job: QueuedJob) -> bool:
         """Bind the slot there, unless another unused cell would lose its place."""
         board, slot = self.board, site.slot
@@ -367,132 +322,3 @@
         room.cpus -= count * job.spec.cpus
         room.memory_mb -= count * job.spec.memory_mb
         self._coming[worker] = self._coming.get(worker, 0) + wanted - free
-
-    def _choose_victims(
-        self, worker: str, job: QueuedJob, count: int
-    ) -> list[RunningJob]:
-        """Return the borrowers to evict so that the members fit, cheapest first."""
-        bench, spec = self.board.benches[worker], job.spec
-        leaving = [(g, n) for g, n in bench.holds if self.is_leaving(g)]
-        accelerators = (
-            count * spec.accelerators
-            - len(bench.room.free)
-            - sum(n for _, n in leaving)
-            + self._coming.get(worker, 0)
-        )
-        cpus = count * spec.cpus - bench.room.cpus - _sum_cpus(leaving)
-        memory = count * spec.memory_mb - bench.room.memory_mb - _sum_memory(leaving)
-        lent: dict[str, tuple[RunningJob, int]] = {}
-        for gang, held in bench.holds:
-            if self.is_lent(gang) and not self.is_leaving(gang):
-                known = lent.get(gang.spec.id, (gang, 0))[1]
-                lent[gang.spec.id] = (gang, known + held)
-        ordered = sorted(lent.values(), key=lambda item: self._rank_victim(*item))
-        chosen: list[RunningJob] = []
-        for gang, held in ordered:
-            if accelerators <= 0 and cpus <= 0 and memory <= 0:
-                break
-            if held == 0 and cpus <= 0 and memory <= 0:
-                continue
-            chosen.append(gang)
-            accelerators -= held
-            members = sum(m.worker == worker for m in gang.members)
-            cpus -= members * gang.spec.cpus
-            memory -= members * gang.spec.memory_mb
-        return chosen
-
-    def _rank_victim(self, gang: RunningJob, held: int) -> tuple[float, str]:
-        return self._losses[gang.spec.id] / max(1, held), gang.spec.id
-
-
-def _sum_cpus(holds: Iterable[tuple[RunningJob, int]]) -> int:
-    return sum(g.spec.cpus for g, _ in holds)
-
-
-def _sum_memory(holds: Iterable[tuple[RunningJob, int]]) -> int:
-    return sum(g.spec.memory_mb for g, _ in holds)
-
-
-Reclaim = Callable[
-    [Board, Sequence[QueuedJob], frozenset[str], Chooser],
-    tuple[list[Action], set[str]],
-]
-
-RECLAIMS: Registry[Reclaim] = Registry("reclaim policy")
-
-
-class YoungestFirst(Reclaimer):
-    """The baseline: evict the youngest borrowers, one by one, until a place is vacant.
-
-    It looks at nothing but the time of start, so that gangs go which stand
-    nowhere near the place that the owner gets.
-    """
-
-    def _list_sites(self, job: QueuedJob, slot: Slot) -> Iterable[Site]:
-        lent = sorted(
-            (
-                g
-                for g in self.board.view.running
-                if self.is_lent(g) and not self.is_leaving(g)
-            ),
-            key=lambda g: -g.started_at,
-        )
-        ages = {g.spec.id: rank for rank, g in enumerate(lent)}
-
-        def find_last(site: Site) -> int:
-            victims = (
-                g
-                for name, count in site.members
-                for g in self._choose_victims(name, job, count)
-            )
-            return max((ages[g.spec.id] for g in victims), default=-1)
-
-        return sorted(super()._list_sites(job, slot), key=find_last)
-
-    def _rank_victim(self, gang: RunningJob, held: int) -> tuple[float, str]:
-        return -gang.started_at, gang.spec.id
-
-    def _occupy(self, site: Site, job: QueuedJob) -> list[Action]:
-        before = set(self.victims)
-        actions = super()._occupy(site, job)
-        new = set(self.victims) - before
-        running = self.board.view.running
-        oldest = min((g.started_at for g in running if g.spec.id in new), default=None)
-        for gang in running if oldest is not None else ():
-            younger = gang.started_at >= (oldest or 0.0) and gang.members
-            if younger and self.is_lent(gang) and not self.is_leaving(gang):
-                self.victims[gang.spec.id] = Evict(
-                    gang.spec.id, job.spec.id, "youngest first"
-                )
-        return actions
-
-
-@RECLAIMS.register("least_lost")
-def reclaim_least_lost(
-    board: Board,
-    queue: Sequence[QueuedJob],
-    reserved: frozenset[str],
-    choose: Chooser,
-) -> tuple[list[Action], set[str]]:
-    """Start owners' jobs in their cells, evicting where the least work is lost."""
-    return _reclaim(Reclaimer(board, queue, reserved, choose), queue)
-
-
-@RECLAIMS.register("youngest_first")
-def reclaim_youngest_first(
-    board: Board,
-    queue: Sequence[QueuedJob],
-    reserved: frozenset[str],
-    choose: Chooser,
-) -> tuple[list[Action], set[str]]:
-    """Start owners' jobs in their cells, evicting the youngest borrowers first."""
-    return _reclaim(YoungestFirst(board, queue, reserved, choose), queue)
-
-
-def _reclaim(
-    reclaimer: Reclaimer, queue: Sequence[QueuedJob]
-) -> tuple[list[Action], set[str]]:
-    claims = {j.spec.id: reclaimer.claim(j) for j in queue}
-    placed = [a for actions in claims.values() for a in actions or ()]
-    owed = {job for job, actions in claims.items() if actions is not None}
-    return [*placed, *reclaimer.victims.values()], owed
--- /dev/null
+++ b/src/firladder/_internal/scheduler/following.py
@@ -0,0 +1,243 @@
+"""Claim the workers of a failure domain, hear of their changes, renew their leases."""
+
+import asyncio
+from collections.abc import Callable
+
+from ..charts.interpreter import load_chart
+from ..etcd.workers import WorkerClient
+from ..exceptions import FencedOff
+from ..fleet.configuration import ConfigurationHolder
+from ..models.machine import Machine
+from ..models.task import ENDED, RenewTasks, StopTask, TaskStatus, WorkerReport
+from ..policies.placement import (
+    PlacementPolicy,
+)
+from ..utils.clocks import Clock
+from ..utils.events import Event, Timeline
+from ..utils.tasks import TaskSet
+from .books import Books, WorkerState
+from .gang_messages import GangTimes, MemberEnded, MemberLost
+from .gangs import GangRunner
+from .guarantees import GuaranteeWatch
+from .leadership import Leadership
+from .ledger import Ledger
+from .recovery import name_task
+
+IDLE_PAUSE_S = 0.25
+"""Seconds until a worker that may not be renewed yet is looked at again."""
+
+FOLLOW_WAIT_S = 5.0
+"""Seconds a worker may hold a question for changes."""
+
+LOST_PART = 0.5
+"""Part of a task lease after which a silent worker counts as lost."""
+
+
+class WorkerFollower:
+    """What a leader knows of its workers, and how it learns it."""
+
+    def __init__(
+        self,
+        *,
+        failure_domain: str,
+        leadership: Leadership,
+        ledger: Ledger,
+        workers: WorkerClient,
+        configuration: ConfigurationHolder,
+        list_machines: Callable[[], list[Machine]],
+        policy: PlacementPolicy,
+        times: GangTimes,
+        clock: Clock,
+        timeline: Timeline,
+    ) -> None:
+        """Prepare a term; ``run`` serves it."""
+        self._leadership = leadership
+        self._epoch = leadership.epoch
+        self._ledger = ledger
+        self._workers = workers
+        self._configuration = configuration
+        self._list_machines = list_machines
+        self._policy = policy
+        self._times = times
+        self._clock = clock
+        self._timeline = timeline
+        self._tasks = TaskSet()
+        self._gang_chart = load_chart("gang")
+        self._followed: set[str] = set()
+        self._runners: dict[str, GangRunner] = {}
+        self.books = Books(failure_domain)
+        self._guarantees = GuaranteeWatch(timeline)
+        self.placing = True
+
+    async def _claim(self, state: WorkerState) -> bool:
+        """Fence former leaders off one worker and learn what runs there."""
+        if not self._leadership.may_act(self._epoch):
+            return False
+        report = await self._workers.claim(state.machine.address, self._epoch)
+        if isinstance(report, FencedOff):
+            self._leadership.step_down("a worker obeys a higher epoch")
+        if not isinstance(report, WorkerReport):
+            return False
+        state.tasks.clear()
+        state.ended.clear()
+        state.sequence = 0
+        self.books.adopt_report(
+            state.machine.name, report, self._clock.read_monotonic()
+        )
+        return True
+
+    async def _admit(self, state: WorkerState) -> None:
+        """End the strays of a claimed worker, then renew and use it.
+
+        A member that its worker ran on while cut off belongs to a gang that
+        was ended meanwhile. Renewing first would keep that member running, as
+        a worker's leases are renewed together.
+        """
+        strays = [t for t in state.list_held() if not self._is_wanted(t)]
+        ended = await asyncio.gather(*(self._stop_stray(state, t) for t in strays))
+        if not all(ended):
+            return
+        state.claimed = True
+        state.renewed_at = self._clock.read_monotonic()
+        self._check_members(state)
+        self._timeline.record(
+            Event.WORKER_CLAIMED, worker=state.machine.name, epoch=self._epoch
+        )
+
+    def _is_wanted(self, task: TaskStatus) -> bool:
+        gang = self.books.gangs.get(task.job)
+        return gang is not None and gang.record.attempt == task.attempt
+
+    async def _stop_stray(self, state: WorkerState, task: TaskStatus) -> bool:
+        if not self._leadership.may_act(self._epoch):
+            return False
+        result = await self._workers.stop(
+            state.machine.address, task.task, StopTask(self._epoch, "force")
+        )
+        return isinstance(result, TaskStatus) and result.state in ENDED
+
+    def _check_members(self, state: WorkerState) -> None:
+        """Tell running gangs what a claimed worker knows of their members."""
+        name = state.machine.name
+        for job, gang in self.books.gangs.items():
+            runner = self._runners.get(job)
+            if runner is None or not runner.running:
+                continue
+            for member in gang.members:
+                if member.worker != name:
+                    continue
+                task = name_task(member, gang.record.attempt)
+                if task in state.ended:
+                    runner.inbox.put_nowait(MemberEnded(state.ended[task]))
+                elif task not in state.tasks:
+                    runner.inbox.put_nowait(MemberLost(name))
+
+    def _note_worker_failure(self, worker: str, job: str) -> None:
+        state = self.books.workers.get(worker)
+        if state is None:
+            return
+        if state.conduct.note_failure(job, self._clock.read_monotonic()):
+            self._timeline.record(
+                Event.WORKER_QUARANTINED,
+                worker=worker,
+                jobs=sorted(state.conduct.failed_jobs),
+            )
+
+    def _note_worker_success(self, worker: str, job: str) -> None:
+        state = self.books.workers[worker]
+        if state.quarantined:
+            self._timeline.record(Event.WORKER_RETURNED, worker=worker, job=job)
+        state.conduct.note_success()
+        self.books.note_run(job, self._configuration.current, self._clock.read_wall())
+
+    def _follow_new_workers(self) -> None:
+        self.books.adopt_machines(self._list_machines())
+        for name in set(self.books.workers) - self._followed:
+            self._followed.add(name)
+            self._tasks.spawn(self._follow(name), name=f"follow-{name}")
+            self._tasks.spawn(self._renew(name), name=f"renew-{name}")
+
+    async def _follow(self, name: str) -> None:
+        """Hear of a worker's changes, and claim it again after a silence."""
+        while (state := self.books.workers.get(name)) is not None:
+            if not state.claimed:
+                if await self._claim(state):
+                    await self._admit(state)
+                if not state.claimed:
+                    self._note_silence(state)
+                    await asyncio.sleep(0.5)
+                    continue
+            report = await self._workers.follow(
+                state.machine.address, since=state.sequence, wait_s=FOLLOW_WAIT_S
+            )
+            if isinstance(report, WorkerReport):
+                self._take_report(name, report)
+                continue
+            self._note_silence(state)
+            await asyncio.sleep(0.3)
+        self._followed.discard(name)
+
+    def _take_report(self, name: str, report: WorkerReport) -> None:
+        if report.epoch > self._epoch:
+            self._timeline.record(Event.WORKER_FENCED, worker=name)
+            self._leadership.step_down("a worker obeys a higher epoch")
+            return
+        state = self.books.workers[name]
+        if report.epoch < self._epoch or report.sequence < state.sequence:
+            # The worker was replaced and knows neither its tasks nor whom to
+            # obey; its changes would be missed, as their numbers begin anew.
+            state.claimed = False
+            return
+        self.books.adopt_report(name, report, self._clock.read_monotonic())
+        for task in report.tasks:
+            runner = self._runners.get(task.job)
+            if task.state in ENDED and runner is not None:
+                runner.inbox.put_nowait(MemberEnded(task))
+            if task.state == "done":
+                self._note_worker_success(name, task.job)
+        if report.tasks:
+            self._ledger.changed.set()
+
+    def _note_silence(self, state: WorkerState) -> None:
+        silent_s = self._clock.read_monotonic() - state.heard_at
+        lost = silent_s > self._times.task_ttl_s * LOST_PART
+        if not lost or not state.reachable:
+            return
+        name = state.machine.name
+        state.reachable = False
+        state.claimed = False
+        self._timeline.record(Event.WORKER_LOST, worker=name)
+        for job, gang in self.books.gangs.items():
+            if any(m.worker == name for m in gang.members):
+                self._runners[job].inbox.put_nowait(MemberLost(name))
+
+    async def _renew(self, name: str) -> None:
+        """Renew the leases of all confirmed tasks of a worker, in one call."""
+        while (state := self.books.workers.get(name)) is not None:
+            if not state.claimed or not self._leadership.may_act(self._epoch):
+                await asyncio.sleep(IDLE_PAUSE_S)
+                continue
+            if not state.list_held():
+                # Nothing to renew. A confirmed task is in the worker's next
+                # report, long before the lease that came with its confirmation
+                # ends; that the worker is alive, the question for changes tells.
+                await asyncio.sleep(self._times.task_ttl_s / 4)
+                continue
+            # At once on the first turn: a takeover has used up much of the
+            # leases that the former leader gave.
+            asked_at = self._clock.read_monotonic()
+            report = await self._workers.renew(
+                state.machine.address,
+                RenewTasks(self._epoch, self._times.task_ttl_s),
+            )
+            if isinstance(report, FencedOff):
+                self._leadership.step_down("a worker obeys a higher epoch")
+            if isinstance(report, WorkerReport):
+                state.heard_at = self._clock.read_monotonic()
+            else:
+                # Sooner than the long question for changes, which may be held
+                # for seconds by a worker that is cut off.
+                self._note_silence(state)
+            # Whether or not the answer came back, the leases may count from now.
+            state.renewed_at = asked_at
+            await asyncio.sleep(self._times.task_ttl_s / 4)
