--- a/features/platform_soak.feature
+++ b/features/platform_soak.feature
@@ -14,7 +14,3 @@
       | 2    | 8      | the short run of every check                                     |
       | 116  | 12     | a job shown as cancelled was shown as running by a leader after  |
       | 231  | 12     | a completed job was shown as running while its gang's ends came  |
-      | 207  | 12     | a node told to reload while it started ended without a word      |
-      | 200  | 12     | a reload signal ended a process before the interpreter's first line |
-      | 201  | 12     | a reload signal ended a process before the interpreter's first line |
-      | 205  | 12     | a reload signal ended a process before the interpreter's first line |
