Call the store and the workers from the node's own address

Cause: the scenario of a node that the store turns away had no effect. The stand-in turns callers away by their address, and a node's calls left from the first loopback address whatever its settings say. A VM with several addresses would show the same.

Ruled out: the stand-in reads the address rightly; nodes of other processes bind it.

Change: both HTTP clients of a node leave from the address in its settings. The scenario is unchanged and now brings about what it says; it passes.

--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -92,10 +92,12 @@
         self._load_s = LOAD_S
         self._stopping = asyncio.Event()
         self._leader_gone = asyncio.Event()
-        self._worker_http = HttpClient(per_host=WORKER_CONNECTIONS)
+        self._worker_http = HttpClient(
+            per_host=WORKER_CONNECTIONS, source_ip=self.settings.ip
+        )
         self.store = PlatformStore(
             address=self.settings.store_address,
-            http=HttpClient(per_host=STORE_CONNECTIONS),
+            http=HttpClient(per_host=STORE_CONNECTIONS, source_ip=self.settings.ip),
             clock=self.clock,
         )
         self.store.on_state = self._note_store
