Send callers of a failure domain that is cut off where they can be served

In an outage of the store records were sent for help to a node that had been removed for good (half a second each time, outcome unknown), and tries that left before the store came back blocked the next for 0.8 s.

Ruled out: being unready whenever the store is away (every node at once in an outage); holding callers longer (their patience is three seconds in all, retries included).

Change: a node that reaches neither the store nor any other failure domain is not ready, refuses at once, says when to come back and closes the connection. Help is asked only of peers that were heard within three seconds. Tries are short while the store is away. A last try with a tenth of a second left is made, not refused unseen.

--- a/src/firladder/_internal/models/message.py
+++ b/src/firladder/_internal/models/message.py
@@ -145,6 +145,7 @@
     leader_ip: str = ""
     leader_token: int = 0
     store_reachable: bool = True
+    failure_domain: str = ""
 
 
 class NodeView(Body, frozen=True, kw_only=True, tag="node_view"):
@@ -155,6 +156,7 @@
     leader_token: int = 0
     configuration: bytes = b""
     store_reachable: bool = True
+    failure_domain: str = ""
 
 
 class SpreadConfiguration(Body, frozen=True, kw_only=True, tag="spread_configuration"):
--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -27,6 +27,7 @@
 from .election import Campaign, Leadership, choose_delay, decode_leader
 from .fleet import Fleet
 from .intake import Intake
+from .isolation import Isolation
 from .keys import LEADER
 from .metrics import NodeMetrics
 from .operations import METRICS, READY
@@ -84,7 +85,7 @@
         )
         self.life = ChartInstance(load_chart("process"))
         self.leaving = False
-        self.draining = False
+        self._closing = False
         self.term: Term | None = None
         self.metrics = NodeMetrics()
         self.calls: Counter[tuple[str, int]] = Counter()
@@ -110,6 +111,7 @@
         self.configuration.listeners.append(self._note_configuration)
         self.fleet = Fleet(
             ip=self.settings.ip,
+            failure_domain=self.settings.failure_domain,
             port=self.settings.peer_port,
             seeds=self.settings.peers,
             fabric=self.fabric,
@@ -119,7 +121,18 @@
             reaches_store=lambda: self.store.reachable,
         )
         self.fleet.on_leader.append(self._note_leader)
-        self.records = Records(store=self.store, fleet=self.fleet, clock=self.clock)
+        self.isolation = Isolation(
+            fleet=self.fleet,
+            store=self.store,
+            clock=self.clock,
+            timeline=self.timeline,
+        )
+        self.records = Records(
+            store=self.store,
+            fleet=self.fleet,
+            clock=self.clock,
+            isolation=self.isolation,
+        )
         self.intake = Intake(self, self.records)
         self._front = HttpServer(self, self.intake)
         self._ready = HttpServer(self, READY)
@@ -144,6 +157,7 @@
             CONFIGURATION_PREFIX, self._list_configuration, self._change_operator
         )
         self._watch(LEADER, self._list_leader, self._change_leader)
+        self._tasks.spawn(self.isolation.run(), name="isolation")
         self._tasks.spawn(self._lead_forever(), name="lead")
         self._tasks.spawn(self._watch_settings(), name="settings")
         self.life.fire("ready")
@@ -157,7 +171,7 @@
         if self.term is not None:
             await self.term.close()
         await asyncio.sleep(UNREADY_S)
-        self.draining = True
+        self._closing = True
         await self._front.stop_listening()
         await asyncio.sleep(LAST_CALLS_S)
         self.life.fire("stop")
@@ -336,7 +350,13 @@
     @property
     def ready(self) -> bool:
         """Tell whether new connections shall come here."""
-        return bool(self.configuration.version) and not self.leaving
+        known = bool(self.configuration.version)
+        return known and not self.leaving and not self.isolation.cut_off
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether callers shall open their next connection elsewhere."""
+        return self._closing or self.isolation.cut_off
 
     def note_call(self, method: str, status: int, spent_s: float) -> None:
         """Count an answered call."""
--- a/src/firladder/_internal/node/fleet.py
+++ b/src/firladder/_internal/node/fleet.py
@@ -7,7 +7,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from ..exceptions import PeerUnreachable
 from ..models.message import (
@@ -32,6 +32,11 @@
 GREET_TIMEOUT_S = 0.4
 """Seconds for the answer; nodes are about a millisecond apart."""
 
+HELPER_FRESH_S = 3.0
+"""Seconds for which a peer that said so counts as one that reaches the store: some
+rounds of greetings. A peer that is gone for good would else be asked for ever: each
+question takes its whole time-out, and what became of it is not known."""
+
 FORGET_S = 20.0
 """Seconds of silence after which a peer is no longer greeted."""
 
@@ -46,6 +51,7 @@
         self,
         *,
         ip: str,
+        failure_domain: str,
         port: int,
         seeds: tuple[str, ...],
         fabric: Fabric,
@@ -56,8 +62,11 @@
     ) -> None:
         """Know ``seeds`` (IP numbers) to begin with."""
         self._reaches_store = reaches_store
-        self._store_seen: dict[str, bool] = {}
+        self._store_reached: dict[str, float] = {}
         self._ip = ip
+        self._failure_domain = failure_domain
+        self._domains: dict[str, str] = {}
+        self._answered: dict[str, float] = {}
         self._port = port
         self._fabric = fabric
         self._configuration = configuration
@@ -84,6 +93,39 @@
             del self._heard[ip]
         return list({*self._heard, *self._seeds})
 
+    def _list_others(self) -> list[str]:
+        """Return the peers that are known to be in other failure domains."""
+        return [
+            ip
+            for ip in self.list_peers()
+            if self._domains.get(ip, self._failure_domain) != self._failure_domain
+        ]
+
+    def _choose_witnesses(self, chosen: Collection[str]) -> list[str]:
+        """Return whom to greet to learn whether other failure domains answer.
+
+        Nodes of one's own domain answer also when the domain is cut off. One of each
+        other domain is greeted: a single one may be in the domain that is cut off.
+        """
+        by_domain: dict[str, list[str]] = {}
+        for ip in self._list_others():
+            by_domain.setdefault(self._domains[ip], []).append(ip)
+        return [
+            self._rng.choice(ips)
+            for ips in by_domain.values()
+            if not set(ips).intersection(chosen)
+        ]
+
+    def measure_silence(self) -> float | None:
+        """Return for how long no node of another failure domain has answered.
+
+        None if no such node is known, in seconds otherwise.
+        """
+        answered = [self._answered.get(ip, 0.0) for ip in self._list_others()]
+        if not answered:
+            return None
+        return self._clock.read_monotonic() - max(answered)
+
     def find_store_helper(self) -> str | None:
         """Return a peer that lately reached the store, the leader first.
 
@@ -91,11 +133,22 @@
         messages that may be lost, and a caller that could be told "not stored"
         would have to be told "unknown".
         """
-        able = [ip for ip in self.list_peers() if self._store_seen.get(ip)]
+        since = self._clock.read_monotonic() - HELPER_FRESH_S
+        able = [ip for ip, at in self._store_reached.items() if at >= since]
         if self.leader_ip in able:
             return self.leader_ip
         return self._rng.choice(able) if able else None
 
+    def forget_store_helper(self, ip: str) -> None:
+        """Ask a peer no more until it says again that it reaches the store."""
+        self._store_reached.pop(ip, None)
+
+    def _note_store(self, ip: str, *, reached: bool) -> None:
+        if reached:
+            self._store_reached[ip] = self._clock.read_monotonic()
+        else:
+            self.forget_store_helper(ip)
+
     def note_leader(self, ip: str, token: int) -> None:
         """Take the leader with the highest token."""
         if token <= self.leader_token:
@@ -125,7 +178,7 @@
 
     def start(self) -> None:
         """Greet peers until closed."""
-        self._tasks.spawn(self._greet_all(), name="greet")
+        self._tasks.spawn(self._greet_forever(), name="greet")
 
     async def close(self) -> None:
         """Stop greeting."""
@@ -139,25 +192,32 @@
                 self.ask(ip, body, timeout_s=GREET_TIMEOUT_S), name="spread"
             )
 
-    async def _greet_all(self) -> None:
+    async def _greet_forever(self) -> None:
         while True:
-            peers = self.list_peers()
-            chosen = set(self._rng.sample(peers, min(len(peers), 1)))
-            if self.leader_ip and not self.leads:
-                chosen.add(self.leader_ip)
-            if not self._configuration.version:
-                chosen.update(peers)
-            for ip in chosen:
-                self._tasks.spawn(self._greet(ip), name="greet-one")
+            self.greet_some()
             await asyncio.sleep(GREET_S * self._rng.uniform(0.8, 1.2))
 
+    def greet_some(self) -> None:
+        """Greet the peers of one round in the background."""
+        peers = self.list_peers()
+        chosen = set(self._rng.sample(peers, min(len(peers), 1)))
+        if self.leader_ip and not self.leads:
+            chosen.add(self.leader_ip)
+        chosen.update(self._choose_witnesses(chosen))
+        if not self._configuration.version:
+            chosen.update(peers)
+        for ip in chosen:
+            self._tasks.spawn(self._greet(ip), name="greet-one")
+
     async def _greet(self, ip: str) -> None:
         view = await self.ask(ip, self._describe(), timeout_s=GREET_TIMEOUT_S)
         if not isinstance(view, NodeView):
             return
         now = self._clock.read_monotonic()
         self._heard[ip] = now
-        self._store_seen[ip] = view.store_reachable
+        self._note_store(ip, reached=view.store_reachable)
+        self._domains[ip] = view.failure_domain
+        self._answered[ip] = now
         for peer in view.peers:
             if peer != self._ip:
                 self._heard.setdefault(peer, now)
@@ -173,11 +233,13 @@
             leader_ip=self.leader_ip,
             leader_token=self.leader_token,
             store_reachable=self._reaches_store(),
+            failure_domain=self._failure_domain,
         )
 
     async def _answer_greeting(self, message: GreetNode) -> AnyBody:
         self._heard[message.ip] = self._clock.read_monotonic()
-        self._store_seen[message.ip] = message.store_reachable
+        self._note_store(message.ip, reached=message.store_reachable)
+        self._domains[message.ip] = message.failure_domain
         if message.leader_ip:
             self.note_leader(message.leader_ip, message.leader_token)
         newer = self._configuration.version > message.configuration_version
@@ -187,6 +249,7 @@
             leader_token=self.leader_token,
             configuration=self._configuration.raw if newer else b"",
             store_reachable=self._reaches_store(),
+            failure_domain=self._failure_domain,
         )
 
     async def _take_configuration(self, message: SpreadConfiguration) -> AnyBody:
--- a/src/firladder/_internal/node/intake.py
+++ b/src/firladder/_internal/node/intake.py
@@ -51,6 +51,10 @@
 """Seconds before a caller's deadline at which it gets its answer at the latest:
 the way to the caller, and this process being busy."""
 
+MARGIN_SHARE = 0.35
+"""The most that this margin takes of a deadline: a caller's last try has a tenth of a
+second left, in which the store answers many times over."""
+
 LEADER_TIMEOUT_S = 0.25
 """Seconds for the leader's answer; it answers from memory."""
 
@@ -111,7 +115,8 @@
             return reply_failure(
                 InvalidValue(reason="must be 16 hexadecimal digits", field="id")
             )
-        until = began + _read_deadline(call) - ANSWER_MARGIN_S
+        deadline_s = _read_deadline(call)
+        until = began + deadline_s - min(ANSWER_MARGIN_S, deadline_s * MARGIN_SHARE)
         if call.method == "POST":
             return await self._submit(call, queue, organisation, job_id, until)
         if call.method == "DELETE":
--- /dev/null
+++ b/src/firladder/_internal/node/isolation.py
@@ -0,0 +1,69 @@
+"""Tell whether this node is cut off from the rest of the fleet and from the store."""
+
+import asyncio
+
+from ..platform.store import PlatformStore
+from ..utils.clocks import Clock
+from ..utils.events import Event, Timeline
+from .fleet import Fleet
+from .keys import LEADER
+
+SILENT_S = 0.9
+"""Seconds without an answer from any node of another failure domain after which this
+node doubts its way out: two greetings in a row, to different nodes."""
+
+LOOK_S = 0.2
+"""Seconds between two looks at how long the others have been silent."""
+
+PROBE_TIMEOUT_S = 0.4
+"""Seconds for the store's answer to a doubtful node; a slow store takes 0.25 s."""
+
+
+def is_cut_off(*, others_silent_s: float | None, store_away_s: float) -> bool:
+    """Tell whether a node can serve nobody that another node could not serve better.
+
+    Answers a failure domain that is cut off while its callers still reach it: its nodes
+    can store nothing, nor through a peer, and each caller is refused until it gives up,
+    though every other domain would serve it. An outage of the store alone is no reason:
+    other nodes answer then, and are no better off. ``others_silent_s`` is None where no
+    node of another domain is known: then nobody could serve the callers instead.
+    """
+    if others_silent_s is None or store_away_s <= 0:
+        return False
+    return others_silent_s >= SILENT_S
+
+
+class Isolation:
+    """Watches the ways out of this node."""
+
+    def __init__(
+        self, *, fleet: Fleet, store: PlatformStore, clock: Clock, timeline: Timeline
+    ) -> None:
+        """Take this node for connected until the others fall silent."""
+        self._fleet = fleet
+        self._store = store
+        self._clock = clock
+        self._timeline = timeline
+        self.cut_off = False
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            silent_s = self._fleet.measure_silence()
+            if silent_s is not None and silent_s >= SILENT_S:
+                # A node without callers asks the store little: without a probe it
+                # would learn only from the next caller that the store is away.
+                await self._store.read_item(LEADER, timeout_s=PROBE_TIMEOUT_S)
+            self._judge()
+
+    def _judge(self) -> None:
+        now = self._clock.read_monotonic()
+        silent_s = self._fleet.measure_silence()
+        away_s = self._store.unreachable_s(now)
+        cut_off = is_cut_off(others_silent_s=silent_s, store_away_s=away_s)
+        if cut_off == self.cut_off:
+            return
+        self.cut_off = cut_off
+        event = Event.NODE_CUT_OFF if cut_off else Event.NODE_CONNECTED
+        self._timeline.record(event, others_silent_s=silent_s, store_away_s=away_s)
--- a/src/firladder/_internal/node/records.py
+++ b/src/firladder/_internal/node/records.py
@@ -18,6 +18,7 @@
 from ..platform.store import Conflict, Item, PlatformStore, Write
 from ..utils.clocks import Clock
 from .fleet import Fleet
+from .isolation import Isolation
 from .keys import CANCELS, JOBS, PROGRESS
 
 logger = logging.getLogger(__name__)
@@ -34,6 +35,10 @@
 DIRECT_TIMEOUT_S = 0.8
 """Seconds for the store to store a record; it answers in 4 ms when it is well."""
 
+AWAY_TIMEOUT_S = 0.3
+"""The same while the store answers nothing: a try that left before it came back is
+never answered, and the next must not wait for it. A slow store takes 0.25 s."""
+
 LEAST_TIMEOUT_S = 0.05
 """The least time that a last try gets before a caller's deadline."""
 
@@ -66,8 +71,16 @@
     without an answer can be repeated until one says where the record stands.
     """
 
-    def __init__(self, *, store: PlatformStore, fleet: Fleet, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        store: PlatformStore,
+        fleet: Fleet,
+        clock: Clock,
+        isolation: Isolation,
+    ) -> None:
         """Store through ``store``; ask ``fleet`` where it turns this node away."""
+        self._isolation = isolation
         self._store = store
         self._fleet = fleet
         self._clock = clock
@@ -87,6 +100,10 @@
             now = self._clock.read_monotonic()
             if now >= (until if uncertain else refuse_at):
                 break
+            if self._isolation.cut_off:
+                # Another failure domain may take it: the caller's time is better
+                # spent on the way there. Creating it twice is harmless.
+                break
             outcome = await self._try(key, value, relay=relay, left_s=until - now)
             if outcome in ("stored", "exists"):
                 return Stored(fresh=outcome == "stored")
@@ -104,9 +121,8 @@
         self, key: str, value: bytes, *, relay: bool, left_s: float
     ) -> Outcome:
         if not relay:
-            return await self.create_here(
-                key, value, timeout_s=min(DIRECT_TIMEOUT_S, left_s)
-            )
+            usual_s = DIRECT_TIMEOUT_S if self._store.reachable else AWAY_TIMEOUT_S
+            return await self.create_here(key, value, timeout_s=min(usual_s, left_s))
         helper = self._fleet.find_store_helper()
         if helper is None:
             return "not_stored"
@@ -115,7 +131,10 @@
             StoreRecord(key=key, value=value),
             timeout_s=min(RELAY_TIMEOUT_S, left_s),
         )
-        return reply.outcome if isinstance(reply, StoreOutcome) else "unknown"
+        if isinstance(reply, StoreOutcome):
+            return reply.outcome
+        self._fleet.forget_store_helper(helper)
+        return "unknown"
 
     async def create_here(self, key: str, value: bytes, *, timeout_s: float) -> Outcome:
         """Create a record through this node's own path to the store."""
--- a/src/firladder/_internal/platform/store.py
+++ b/src/firladder/_internal/platform/store.py
@@ -158,10 +158,10 @@
         return 0.0 if self.reachable else now - self._lost_at
 
     async def read_item(
-        self, key: str
+        self, key: str, *, timeout_s: float = CALL_TIMEOUT_S
     ) -> Item | NotFound | StoreUnavailable | StoreUncertain:
         """Return the item under ``key``."""
-        answer = await self._call("GET", "/-/kv-key", {"key": key})
+        answer = await self._call("GET", "/-/kv-key", {"key": key}, timeout_s=timeout_s)
         if not isinstance(answer, HttpAnswer):
             return answer
         if answer.status == 404:
--- a/src/firladder/_internal/utils/events.py
+++ b/src/firladder/_internal/utils/events.py
@@ -64,6 +64,8 @@
     QUEUES_ADOPTED = (510, "queues and keys adopted")
     LEADER_KNOWN = (511, "another leader known")
     ENTRY_LEFT_OUT = (512, "entry of another writer left out")
+    NODE_CUT_OFF = (513, "cut off from the fleet and the store")
+    NODE_CONNECTED = (514, "connected to the fleet or the store again")
     SUBMISSION_ANSWERED = (520, "submission answered")
     CANCELLATION_ANSWERED = (521, "cancellation answered")
     STATE_NOT_KNOWN = (522, "state of a job not known")
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -85,8 +85,16 @@
 class PlatformSite:
     """Stand-ins of the platform, and nodes on addresses of their own."""
 
-    def __init__(self, *, nodes: int = 2, workers: int = 2, seed: int = 0) -> None:
-        """Prepare; nothing runs yet."""
+    def __init__(
+        self,
+        *,
+        nodes: int = 2,
+        workers: int = 2,
+        seed: int = 0,
+        domains: tuple[str, ...] = ("d",),
+    ) -> None:
+        """Prepare; nothing runs yet. Nodes are in ``domains`` by turns."""
+        self._domains = domains
         self._lock, ports = claim_ports()
         self.peer_port, self.metrics_port = next(ports), next(ports)
         if self.metrics_port != self.peer_port + 1:
@@ -137,7 +145,7 @@
             TEMPLATE.format(
                 name=f"entry-{number}",
                 ip=ip,
-                zone="d",
+                zone=self._domains[number % len(self._domains)],
                 peer_port=self.peer_port,
                 last_port=self.peer_port + 9,
                 seeds=seeds,
