Reckon the loss of saved work from the settings

Cause: the core took half a second as what a task that saves its progress loses by a stop, 'as it saves every half second'.

Change: stop and restoring time are read from the settings.

--- a/features/engine_policy.feature
+++ b/features/engine_policy.feature
@@ -128,3 +128,12 @@
     When heavy and small jobs for twice the room arrive, and an urgent gang each second
     Then 9 in 10 urgent gangs begin within 1 s
     And all jobs end at last
+
+  Scenario: Work that saves its progress loses no more by a stop than the settings say
+    A stop saves what a task did, however long ago it had saved before. A leader that
+    reckons with a fixed loss takes saved work for dearer than it is where workers
+    restore fast, and stops young work in its place, which is lost.
+    Given an engine with 1 rack of 2 workers
+    And whole-worker jobs are at work: "saving" for 8 s, "young" for 0.4 s
+    When an urgent job of 1 whole worker arrives
+    Then only "saving" is stopped for it
--- a/features/steps/engine_policy_steps.py
+++ b/features/steps/engine_policy_steps.py
@@ -155,6 +155,17 @@
     engine.now += 3.0
 
 
+@given('whole-worker jobs are at work: "saving" for 8 s, "young" for 0.4 s')
+def add_two(context):
+    engine = context.engine
+    submit(context, "saving", make_step(checkpoints=True), priority=1)
+    start_now(context)
+    engine.now += 7.6
+    submit(context, "young", make_step(), priority=1)
+    start_now(context)
+    engine.now += 0.4
+
+
 @given("5 whole-worker jobs of 3 s fill the rest")
 def fill_rest(context):
     for number in range(5):
--- a/features/support/engine_world.py
+++ b/features/support/engine_world.py
@@ -65,7 +65,7 @@
     def __init__(self, workers: int, *, per_rack: int = 8) -> None:
         self.now = 100.0
         self.core = self.make_core()
-        self.planner = Planner(self.core, reclaim_s=2.7)
+        self.planner = Planner(self.core, reclaim_s=2.7, restart_s=0.3)
         self.entries = [make_entry(n, per_rack=per_rack) for n in range(workers)]
         self.stored: dict[str, bytes] = {}
         self.accepted: dict[str, AcceptedJob] = {}
@@ -128,7 +128,7 @@
     def succeed(self) -> None:
         """Replace the engine by a successor that knows only what is stored."""
         self.core = self.make_core()
-        self.planner = Planner(self.core, reclaim_s=2.7)
+        self.planner = Planner(self.core, reclaim_s=2.7, restart_s=0.3)
         for entry in self.entries:
             self.core.see_worker(entry, now=self.now)
         recorded = {i: decode_progress(value) for i, value in self.stored.items()}
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -69,14 +69,16 @@
 class Planner:
     """Plans passes; remembers only for whom room is being made."""
 
-    def __init__(self, core: Core, *, reclaim_s: float) -> None:
+    def __init__(self, core: Core, *, reclaim_s: float, restart_s: float) -> None:
         """Plan for ``core``.
 
-        ``reclaim_s`` is within what time guaranteed urgent work must begin.
+        ``reclaim_s`` is within what time guaranteed urgent work must begin,
+        ``restart_s`` what a task that saves its progress loses by a stop.
         """
         self._core = core
         self._estimates = Estimates(core)
         self._reclaim_s = reclaim_s
+        self._restart_s = restart_s
         self._claims: dict[int, _Claim] = {}
         self._queues: dict[str, Queue] = {}
         self.next_due_s: float | None = None
@@ -332,7 +334,12 @@
         return needed_s > left_s + DRAIN_SLACK_S
 
     def _make_room(self, unit: Unit, pool: list[Candidate], now: float) -> bool:
-        planner = EvictionPlanner(candidates=pool, workers=self._core.workers, now=now)
+        planner = EvictionPlanner(
+            candidates=pool,
+            workers=self._core.workers,
+            now=now,
+            restart_s=self._restart_s,
+        )
         avoided = self._list_avoided(unit, pool)
         found = planner.plan(
             unit, avoided=avoided, spread_allowed=self._may_spread(unit, now)
--- a/src/firladder/_internal/engine/preemption.py
+++ b/src/firladder/_internal/engine/preemption.py
@@ -11,10 +11,6 @@
 """Cores that one accelerator counts for when lost work is weighed; the price
 list of the platform counts it so."""
 
-RESTART_S = 0.5
-"""Seconds of work that a task with checkpoints loses by a stop: it saves every
-half second, and is restored within a tenth or more."""
-
 NEAR_END_WEIGHT = 1.0
 """Extra weight of work by the share that is done: what ends soon gives its room
 back by itself, so it is the last to be stopped."""
@@ -29,8 +25,12 @@
     cost: float
 
 
-def weigh_loss(unit: Unit, now: float) -> float:
-    """Return what is lost when a unit is stopped, in core-seconds."""
+def weigh_loss(unit: Unit, now: float, *, restart_s: float) -> float:
+    """Return what is lost when a unit is stopped, in core-seconds.
+
+    A task that saves its progress does so at a stop too, however long ago it did
+    last: it loses ``restart_s``, the stop and the restoring.
+    """
     active = [p for p in unit.placements.values() if p.active_at]
     if not active:
         return 0.0
@@ -38,7 +38,7 @@
     cores = need.cpu_milli / 1000 + need.accelerators * ACCELERATOR_CORES
     elapsed = now - max(p.active_at for p in active)
     done = max(p.percent for p in active) / 100
-    lost_s = min(elapsed, RESTART_S) if unit.step.checkpoints else elapsed
+    lost_s = min(elapsed, restart_s) if unit.step.checkpoints else elapsed
     return cores * len(active) * lost_s * (1 + NEAR_END_WEIGHT * done)
 
 
@@ -68,11 +68,13 @@
         candidates: Sequence[Candidate],
         workers: dict[str, Worker],
         now: float,
+        restart_s: float,
     ) -> None:
         """Plan for one pass, on the room that this pass has left."""
         self._candidates = candidates
         self._workers = workers
         self._now = now
+        self._restart_s = restart_s
         self._costs: dict[int, float] = {}
 
     def plan(
@@ -133,7 +135,8 @@
     def _weigh(self, unit: Unit) -> float:
         known = self._costs.get(id(unit))
         if known is None:
-            known = self._costs[id(unit)] = 1.0 + weigh_loss(unit, self._now)
+            loss = weigh_loss(unit, self._now, restart_s=self._restart_s)
+            known = self._costs[id(unit)] = 1.0 + loss
         return known
 
     def _free_on(
--- a/src/firladder/_internal/evaluation/day_driver.py
+++ b/src/firladder/_internal/evaluation/day_driver.py
@@ -29,6 +29,9 @@
 STOP_S = 0.2
 """Seconds from a stop to its end as the leader reads it."""
 
+RESTORE_S = 0.1
+"""Seconds for which a task that goes on from a checkpoint is restored."""
+
 REPORT_S = 0.5
 """Seconds between two looks at all workers, for their progress."""
 
@@ -122,7 +125,9 @@
         self.now = START_AT + FILLED_AT_S
         self.core = Core(hold_s=HOLD_S, note=self._note)
         self.core.configuration = day.configuration
-        self.planner = planner(self.core, reclaim_s=RECLAIM_S)
+        self.planner = planner(
+            self.core, reclaim_s=RECLAIM_S, restart_s=STOP_S + RESTORE_S
+        )
         self.accounts = {j.accepted.job_id: Account(j) for j in day.jobs}
         self.lost_core_s = 0.0
         self.evictions = 0
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -82,7 +82,9 @@
         self._rng = rng
         self._timeline = timeline
         self._tasks = TaskSet()
-        self._planner = Planner(self.core, reclaim_s=settings.reclaim_s)
+        self._planner = Planner(
+            self.core, reclaim_s=settings.reclaim_s, restart_s=settings.restart_s
+        )
         self._revisions: dict[str, int] = {}
         self._attendants: dict[str, Attendant] = {}
         self._ended: asyncio.Future[str] = asyncio.get_running_loop().create_future()
--- a/src/firladder/_internal/platform/settings.py
+++ b/src/firladder/_internal/platform/settings.py
@@ -23,6 +23,9 @@
     # For how long callers are told of a job that has ended.
     status_s: float = 120
     reclaim_ms: float = 2700
+    # A stopped task has saved what it did: a stop costs these two.
+    stop_grace_ms: float = 200
+    restore_ms: float = 100
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -53,7 +56,8 @@
     """The settings of an entry VM's process; times in seconds.
 
     ``peers`` are IP numbers of VMs that may know the fleet; ``peer_port`` is
-    where processes of the fleet listen for each other. ``processor_cores`` and
+    where processes of the fleet listen for each other. ``restart_s`` is what a task
+    that saves its progress loses by a stop. ``processor_cores`` and
     ``link_mbps`` are what the VM has of both.
     """
 
@@ -69,6 +73,7 @@
     max_hold_s: float
     kept_s: float
     reclaim_s: float
+    restart_s: float
     processor_cores: float
     link_mbps: float
 
@@ -100,6 +105,7 @@
         max_hold_s=bounds.max_hold_ms / 1000,
         kept_s=bounds.status_s,
         reclaim_s=bounds.reclaim_ms / 1000,
+        restart_s=(bounds.stop_grace_ms + bounds.restore_ms) / 1000,
         processor_cores=wire.limits.cpu_share * wire.limits.cores,
         link_mbps=wire.limits.link_mbps,
     )
