--- a/features/node_isolation.feature
+++ b/features/node_isolation.feature
@@ -39,6 +39,14 @@
     When another domain is cut off for 6.0 s
     Then the others never counted as silent for 0.9 s
 
+  Scenario: A cut that lasts longer than peers are remembered stays one
+    Peers that are silent for long are greeted no more. Forgotten with them, a cut of
+    half a minute would seem over, and callers would come back to a node that can store
+    nothing.
+    Given a fleet of 3 failure domains with 2 nodes each
+    When the own domain is cut off for 40.0 s
+    Then the others count as silent for at least 39.0 s
+
   Scenario: A peer that is gone for good is not asked to store for others
     The store turns some nodes away, and one node was removed for good. Each caller's
     record was sent to the removed one again and again: half a second each time, with
--- a/features/steps/engine_policy_steps.py
+++ b/features/steps/engine_policy_steps.py
@@ -145,25 +145,27 @@
     'whole-worker jobs are at work: "old" for 8 s, "saving" for 8 s, "young" for 3 s'
 )
 def add_three(context):
-    engine = context.engine
     submit(context, "old", make_step(), priority=1, takes_s=10.0)
-    submit(context, "saving", make_step(checkpoints=True), priority=1)
-    start_now(context)
-    engine.now += 5.0
-    submit(context, "young", make_step(), priority=1)
-    start_now(context)
-    engine.now += 3.0
+    begin_saving(context, 5.0)
+    begin_young(context, 3.0)
 
 
 @given('whole-worker jobs are at work: "saving" for 8 s, "young" for 0.4 s')
 def add_two(context):
-    engine = context.engine
+    begin_saving(context, 7.6)
+    begin_young(context, 0.4)
+
+
+def begin_saving(context, seconds):
     submit(context, "saving", make_step(checkpoints=True), priority=1)
     start_now(context)
-    engine.now += 7.6
+    context.engine.now += seconds
+
+
+def begin_young(context, seconds):
     submit(context, "young", make_step(), priority=1)
     start_now(context)
-    engine.now += 0.4
+    context.engine.now += seconds
 
 
 @given("5 whole-worker jobs of 3 s fill the rest")
--- a/src/firladder/_internal/engine/speeds.py
+++ b/src/firladder/_internal/engine/speeds.py
@@ -29,6 +29,9 @@
 """Progress from which a running task's pace can be read: below it, a whole per cent
 and the time that the first look took weigh too much."""
 
+LEAST_DECLARED_S = 0.01
+"""The least declared time that is reckoned with; some callers declare none."""
+
 StepKey = tuple[str, int, int]
 
 
@@ -75,7 +78,9 @@
 
     def note_progress(self, unit: Unit, placement: Placement, now: float) -> None:
         """Learn from a task that is at work; each is counted once."""
-        if placement.timed and placement.percent >= LEAST_PERCENT and unit.working:
+        # A member of a gang that is done waits for the others at a hundred per cent.
+        seen = LEAST_PERCENT <= placement.percent < 100
+        if placement.timed and seen and unit.working:
             whole_s = (now - unit.active_since) * 100 / placement.percent
             self._learn(unit, placement, whole_s)
 
@@ -123,12 +128,17 @@
         known = self._steps.get(key)
         if known is None:
             declared = self._queues.setdefault(accepted.queue, _Declared())
-            value = math.log(max(unit.step.estimate_s, 0.01)) + declared.bias
+            value = _read_declared(unit) + declared.bias
             known = self._steps[key] = _Guess(value, declared.variance)
         return known
 
     def _judge_declared(self, unit: Unit, took: float) -> None:
         declared = self._queues[unit.job.accepted.queue]
-        off = took - math.log(max(unit.step.estimate_s, 0.01)) - declared.bias
+        off = took - _read_declared(unit) - declared.bias
         declared.bias += LEARNING_SHARE * off
         declared.variance += LEARNING_SHARE * (off * off - declared.variance)
+
+
+def _read_declared(unit: Unit) -> float:
+    """Return the logarithm of the declared time."""
+    return math.log(max(unit.step.estimate_s, LEAST_DECLARED_S))
--- a/src/firladder/_internal/node/fleet.py
+++ b/src/firladder/_internal/node/fleet.py
@@ -66,7 +66,7 @@
         self._ip = ip
         self._failure_domain = failure_domain
         self._domains: dict[str, str] = {}
-        self._answered: dict[str, float] = {}
+        self._others_answered_at: float | None = None
         self._port = port
         self._fabric = fabric
         self._configuration = configuration
@@ -91,6 +91,8 @@
         now = self._clock.read_monotonic()
         for ip in [ip for ip, at in self._heard.items() if now - at > FORGET_S]:
             del self._heard[ip]
+            self._domains.pop(ip, None)
+            self._store_reached.pop(ip, None)
         return list({*self._heard, *self._seeds})
 
     def _list_others(self) -> list[str]:
@@ -119,12 +121,11 @@
     def measure_silence(self) -> float | None:
         """Return for how long no node of another failure domain has answered.
 
-        None if no such node is known, in seconds otherwise.
+        In seconds; None if none ever has.
         """
-        answered = [self._answered.get(ip, 0.0) for ip in self._list_others()]
-        if not answered:
+        if self._others_answered_at is None:
             return None
-        return self._clock.read_monotonic() - max(answered)
+        return self._clock.read_monotonic() - self._others_answered_at
 
     def find_store_helper(self) -> str | None:
         """Return a peer that lately reached the store, the leader first.
@@ -217,7 +218,8 @@
         self._heard[ip] = now
         self._note_store(ip, reached=view.store_reachable)
         self._domains[ip] = view.failure_domain
-        self._answered[ip] = now
+        if view.failure_domain != self._failure_domain:
+            self._others_answered_at = now
         for peer in view.peers:
             if peer != self._ip:
                 self._heard.setdefault(peer, now)
--- a/src/firladder/_internal/node/isolation.py
+++ b/src/firladder/_internal/node/isolation.py
@@ -15,6 +15,10 @@
 LOOK_S = 0.2
 """Seconds between two looks at how long the others have been silent."""
 
+PROBE_PAUSE_S = 1.0
+"""Seconds between two probes of a store that answers: where the other domains are away
+for good, each node goes on asking, and each call is priced."""
+
 PROBE_TIMEOUT_S = 0.4
 """Seconds for the store's answer to a doubtful node; a slow store takes 0.25 s."""
 
@@ -44,19 +48,27 @@
         self._store = store
         self._clock = clock
         self._timeline = timeline
+        self._probed_at = -PROBE_PAUSE_S
         self.cut_off = False
 
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
             await asyncio.sleep(LOOK_S)
-            silent_s = self._fleet.measure_silence()
-            if silent_s is not None and silent_s >= SILENT_S:
+            if self._needs_probe():
                 # A node without callers asks the store little: without a probe it
                 # would learn only from the next caller that the store is away.
+                self._probed_at = self._clock.read_monotonic()
                 await self._store.read_item(LEADER, timeout_s=PROBE_TIMEOUT_S)
             self._judge()
 
+    def _needs_probe(self) -> bool:
+        silent_s = self._fleet.measure_silence()
+        if silent_s is None or silent_s < SILENT_S:
+            return False
+        since_s = self._clock.read_monotonic() - self._probed_at
+        return not self._store.reachable or since_s >= PROBE_PAUSE_S
+
     def _judge(self) -> None:
         now = self._clock.read_monotonic()
         silent_s = self._fleet.measure_silence()
