Let no job stand still for long beside a pool that is mostly idle

After a burst three wide gangs keep the workers that they can have soonest; these stand idle until the last of each set is free, and what lasts longer may not use them. Work that prefers a rack which nobody can use waited for ever.

Ruled out: a worker that is never used again (all 23 that were registered got work after they had been out of reach); a job that the leader does not know (it planned it at last).

Change: where less than half of a pool is in use, a job that is not urgent and has nothing at work takes kept workers after 4 s and other racks after 10 s.

--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -1,9 +1,10 @@
 """One pass over all waiting work: who starts where, and who makes way."""
 
 import dataclasses
+import math
 from collections.abc import Iterator, Sequence
 
-from ..models.workload import Queue
+from ..models.workload import Queue, Resources
 from .core import Core
 from .estimating import Estimates
 from .health import find_suspect_pools
@@ -31,6 +32,18 @@
 away for a small job, and is late itself. Within the guarantee nothing bounds it:
 those accelerators were only lent."""
 
+IDLE_SHARE = 0.5
+"""Share of a pool in use, below which it counts as idle: holding workers free for one
+gang, or waiting for one rack, then keeps more from work than it ever gives back."""
+
+LENT_AFTER_S = 4.0
+"""Seconds that a job which is not urgent stands still in an idle pool while workers
+are kept for others; then it takes them."""
+
+FAR_AFTER_S = 10.0
+"""Seconds that it stands still there for want of its rack: elsewhere it takes several times as long,
+and a rack often comes free within the run time of a task."""
+
 LAST_MOMENT_S = 0.8
 """Seconds before a worker leaves at which work that saves its progress is stopped:
 the stop takes up to 0.2 s, and a look must still see its end and checkpoint."""
@@ -81,6 +94,7 @@
         self._restart_s = restart_s
         self._claims: dict[int, _Claim] = {}
         self._queues: dict[str, Queue] = {}
+        self._idle_pools: set[str] = set()
         self.next_due_s: float | None = None
 
     def run_pass(self, *, now: float, wall: float) -> int:
@@ -90,6 +104,7 @@
         self.next_due_s = None
         self._estimates.begin_pass()
         candidates = self._list_candidates(now)
+        self._idle_pools = self._find_idle_pools()
         waiting = sorted(
             self._list_waiting(now, wall), key=lambda unit: self._rank(unit, wall)
         )
@@ -258,9 +273,40 @@
         self._estimates.note_change(unit)
         return 1
 
+    def _find_idle_pools(self) -> set[str]:
+        """Return the pools of which less than ``IDLE_SHARE`` is in use."""
+        capacity: dict[str, Resources] = {}
+        free: dict[str, Resources] = {}
+        for worker in self._core.workers.values():
+            if not worker.listed:
+                continue
+            pool = worker.entry.pool
+            capacity[pool] = capacity.get(pool, Resources()) + worker.entry.capacity
+            free[pool] = free.get(pool, Resources()) + worker.free
+        return {
+            pool
+            for pool, whole in capacity.items()
+            if min(_list_shares(free[pool], whole), default=0.0) > 1 - IDLE_SHARE
+        }
+
+    def _stands_idle(self, unit: Unit, now: float, *, longer_than: float) -> bool:
+        """Tell whether a job that is not urgent has stood still in an idle pool.
+
+        Answers the end of a burst of wide gangs: three of them kept most workers for
+        themselves, each set waiting for its last worker, and small work and other
+        gangs waited beside a pool that was more than half free, some for good.
+        """
+        if unit.job.accepted.priority == 0 or now - unit.ready_at <= longer_than:
+            return False
+        if self._find_pool(unit.job) not in self._idle_pools:
+            return False
+        return not any(other.placements for other in unit.job.units)
+
     def _place(
         self, unit: Unit, pool: Sequence[Candidate], now: float
     ) -> list[str] | None:
+        if self._stands_idle(unit, now, longer_than=LENT_AFTER_S):
+            pool = [dataclasses.replace(c, open_for_s=math.inf) for c in pool]
         return place_unit(
             unit.step,
             len(unit.indices),
@@ -273,6 +319,8 @@
         )
 
     def _may_spread(self, unit: Unit, now: float) -> bool:
+        if self._stands_idle(unit, now, longer_than=FAR_AFTER_S):
+            return True
         waited = now - unit.ready_at
         urgent = unit.job.accepted.priority == 0
         late = waited > self._reclaim_s * SPREAD_AFTER
@@ -398,3 +446,16 @@
             and j.accepted.organisation == name
         )
         return needed <= guaranteed
+
+
+def _list_shares(part: Resources, whole: Resources) -> list[float]:
+    """Return the share of each kind of room that there is."""
+    return [
+        have / all_there_is
+        for have, all_there_is in (
+            (part.cpu_milli, whole.cpu_milli),
+            (part.memory_mb, whole.memory_mb),
+            (part.accelerators, whole.accelerators),
+        )
+        if all_there_is
+    ]
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -168,11 +168,14 @@
 class Soak:
     """One seeded run."""
 
-    def __init__(self, seed: int, *, nodes: int = 3, workers: int = 3) -> None:
-        """Start the processes, unharmed."""
+    def __init__(
+        self, seed: int, *, nodes: int = 3, workers: int = 3, domains: int = 1
+    ) -> None:
+        """Start the processes, unharmed, with the nodes in ``domains`` by turns."""
         self.rng = random.Random(seed)
         self.proxy = Proxy()
-        self.site = PlatformSite(nodes=nodes, workers=workers, seed=seed)
+        names = tuple(f"domain-{n}" for n in range(domains))
+        self.site = PlatformSite(nodes=nodes, workers=workers, seed=seed, domains=names)
         self.site.route_through(self.proxy)
         self.site.start()
         self.down: set[int] = set()
@@ -428,9 +431,9 @@
     return lambda: None
 
 
-def play(seed: int, seconds: float) -> bool:
+def play(seed: int, seconds: float, *, domains: int = 1) -> bool:
     """Play one seed; print what was broken, and tell whether nothing was."""
-    soak = Soak(seed)
+    soak = Soak(seed, domains=domains)
     problems = ["the soak itself did not end"]
     try:
         problems = soak.run(seconds)
@@ -458,9 +461,13 @@
     parser.add_argument("--seed", type=int, default=None, help="one seed")
     parser.add_argument("--seeds", type=int, default=1, help="fresh seeds in a row")
     parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--domains", type=int, default=1, help="failure domains")
     options = parser.parse_args()
     first = options.seed if options.seed is not None else int(time.time())
-    played = [play(first + n, options.seconds) for n in range(options.seeds)]
+    played = [
+        play(first + n, options.seconds, domains=options.domains)
+        for n in range(options.seeds)
+    ]
     return 0 if all(played) else 1
 
 
