--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -4,10 +4,11 @@
 import math
 from collections.abc import Iterator, Sequence
 
-from ..models.workload import Queue, Resources
+from ..models.workload import Queue
 from .core import Core
 from .estimating import Estimates
 from .health import find_suspect_pools
+from .idleness import FAR_AFTER_S, LENT_AFTER_S, find_idle_pools, stands_still
 from .placement import (
     Candidate,
     list_suitable,
@@ -32,18 +33,6 @@
 away for a small job, and is late itself. Within the guarantee nothing bounds it:
 those accelerators were only lent."""
 
-IDLE_SHARE = 0.5
-"""Share of a pool in use, below which it counts as idle: holding workers free for one
-gang, or waiting for one rack, then keeps more from work than it ever gives back."""
-
-LENT_AFTER_S = 4.0
-"""Seconds that a job which is not urgent stands still in an idle pool while workers
-are kept for others; then it takes them."""
-
-FAR_AFTER_S = 10.0
-"""Seconds that it stands still there for want of its rack: elsewhere it takes several times as long,
-and a rack often comes free within the run time of a task."""
-
 LAST_MOMENT_S = 0.8
 """Seconds before a worker leaves at which work that saves its progress is stopped:
 the stop takes up to 0.2 s, and a look must still see its end and checkpoint."""
@@ -104,7 +93,7 @@
         self.next_due_s = None
         self._estimates.begin_pass()
         candidates = self._list_candidates(now)
-        self._idle_pools = self._find_idle_pools()
+        self._idle_pools = find_idle_pools(self._core.workers.values())
         waiting = sorted(
             self._list_waiting(now, wall), key=lambda unit: self._rank(unit, wall)
         )
@@ -273,34 +262,10 @@
         self._estimates.note_change(unit)
         return 1
 
-    def _find_idle_pools(self) -> set[str]:
-        """Return the pools of which less than ``IDLE_SHARE`` is in use."""
-        capacity: dict[str, Resources] = {}
-        free: dict[str, Resources] = {}
-        for worker in self._core.workers.values():
-            if not worker.listed:
-                continue
-            pool = worker.entry.pool
-            capacity[pool] = capacity.get(pool, Resources()) + worker.entry.capacity
-            free[pool] = free.get(pool, Resources()) + worker.free
-        return {
-            pool
-            for pool, whole in capacity.items()
-            if min(_list_shares(free[pool], whole), default=0.0) > 1 - IDLE_SHARE
-        }
-
     def _stands_idle(self, unit: Unit, now: float, *, longer_than: float) -> bool:
-        """Tell whether a job that is not urgent has stood still in an idle pool.
-
-        Answers the end of a burst of wide gangs: three of them kept most workers for
-        themselves, each set waiting for its last worker, and small work and other
-        gangs waited beside a pool that was more than half free, some for good.
-        """
-        if unit.job.accepted.priority == 0 or now - unit.ready_at <= longer_than:
-            return False
-        if self._find_pool(unit.job) not in self._idle_pools:
+        if not stands_still(unit, now, longer_than=longer_than):
             return False
-        return not any(other.placements for other in unit.job.units)
+        return self._find_pool(unit.job) in self._idle_pools
 
     def _place(
         self, unit: Unit, pool: Sequence[Candidate], now: float
@@ -446,16 +411,3 @@
             and j.accepted.organisation == name
         )
         return needed <= guaranteed
-
-
-def _list_shares(part: Resources, whole: Resources) -> list[float]:
-    """Return the share of each kind of room that there is."""
-    return [
-        have / all_there_is
-        for have, all_there_is in (
-            (part.cpu_milli, whole.cpu_milli),
-            (part.memory_mb, whole.memory_mb),
-            (part.accelerators, whole.accelerators),
-        )
-        if all_there_is
-    ]
