Soak three failure domains, and let go of a proxy's ports at its end

Cause: the soak's nodes were all in one failure domain, in which a node never takes itself for cut off.

Ruled out: another site on the machine (each holds a lock on its block of ports).

--- a/features/steps/platform_soak_steps.py
+++ b/features/steps/platform_soak_steps.py
@@ -8,10 +8,15 @@
 LIMIT_S = 240
 
 
+@when("the soak plays seed {seed:d} for {seconds:d} s in {domains:d} failure domains")
+def play_domains(context, seed, seconds, domains):
+    play(context, seed, seconds, domains)
+
+
 @when("the soak plays seed {seed:d} for {seconds:d} s")
-def play(context, seed, seconds):
+def play(context, seed, seconds, domains=1):
     command = [sys.executable, "-m", "standins.soak"]
-    command += [f"--seed={seed}", f"--seconds={seconds}"]
+    command += [f"--seed={seed}", f"--seconds={seconds}", f"--domains={domains}"]
     context.soak = subprocess.run(
         command, cwd=ROOT, capture_output=True, text=True, timeout=LIMIT_S
     )
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -101,6 +101,7 @@
     def __init__(self) -> None:
         """Start without links."""
         self.links: dict[str, Link] = {}
+        self._servers: list[asyncio.Server] = []
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
@@ -110,7 +111,8 @@
         link = self.links[name] = Link(listen, forward)
         host, port = split_address(listen)
         start = asyncio.start_server(link.serve, host, port)
-        asyncio.run_coroutine_threadsafe(start, self._loop).result(5)
+        server = asyncio.run_coroutine_threadsafe(start, self._loop).result(5)
+        self._servers.append(server)
         return link
 
     def set_mode(self, name: str, mode: Mode, *, delay_s: float = 0.0) -> None:
@@ -133,6 +135,9 @@
         """Stop passing anything on, and wait for the connections to end."""
 
         async def cancel_all() -> None:
+            # Left open, they would hold their ports against the next run's proxy.
+            for server in self._servers:
+                server.close()
             others = asyncio.all_tasks() - {asyncio.current_task()}
             for task in others:
                 task.cancel()
