Throw no work away for seeming to stand still, or to have just begun

Three faults make up the largest single losses: - The members of a gang end together; those on fast workers are done first and show no progress while a slow one goes on. After 4.5 s they counted as standing still: four gangs of 8 to 26 tasks were given up at 8.2 s, each after 16 s of work, and sound workers were quarantined. And run times were learned from runs that the leader had not seen begin.

Change: a member that is done is not judged while others work; a run that saves nothing may stand still for as long as it had worked (no more than twice the better choice is lost), while its worker gets nothing new; inherited work counts from its progress, and run times are learned only from runs seen from their beginning.

--- a/src/firladder/_internal/engine/estimating.py
+++ b/src/firladder/_internal/engine/estimating.py
@@ -33,9 +33,8 @@
             self._free.pop(placement.worker_id, None)
 
     def estimate_run(self, unit: Unit) -> float:
-        """Return how long a run takes; declared times are far off at times."""
-        key = (unit.job.accepted.queue, unit.step_index)
-        return self._core.runtimes.get(key, unit.step.estimate_s)
+        """Return how long a run takes, in seconds."""
+        return self._core.estimate_run(unit)
 
     def estimate_left(self, unit: Unit | None, now: float) -> float:
         """Return in how many seconds a unit's run is likely to be done."""
--- a/src/firladder/_internal/engine/health.py
+++ b/src/firladder/_internal/engine/health.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from .state import Placement, Worker
+from .state import Placement, Unit, Worker
 
 BLAMING_JOBS = 2
 """Distinct jobs that must fail on a worker before it gets no more work. Tasks
@@ -17,8 +17,12 @@
 """Seconds without new work; then one more blame puts the worker back in."""
 
 STALL_S = 4.5
-"""Seconds without any progress after which a run is given up. A task takes some
-ten seconds and reports whole per cent; one eight times slower still moves."""
+"""Seconds without any progress after which a task counts as one that stands still. A
+task takes some ten seconds and reports whole per cent; one eight times slower still
+moves."""
+
+WHOLE_PERCENT = 100
+"""Progress of a task that is done; a member of a gang then waits for the others."""
 
 MOST_QUARANTINED = 0.34
 """Share of a pool that may be in quarantine: if more fail, the cause is
@@ -49,9 +53,33 @@
         placement.moved_at = now
 
 
-def is_stalled(placement: Placement, now: float) -> bool:
-    """Tell whether a task that is at work has stopped to progress."""
-    return bool(placement.moved_at) and now - placement.moved_at > STALL_S
+def is_stalled(placement: Placement, now: float, *, longer_than: float) -> bool:
+    """Tell whether a task that is at work has not progressed for so many seconds."""
+    return bool(placement.moved_at) and now - placement.moved_at > longer_than
+
+
+def waits_for_members(unit: Unit, placement: Placement) -> bool:
+    """Tell whether a member of a gang is done and others are still at work.
+
+    The members of a gang end together. On a fast worker one is done long before a slow
+    one, and shows no progress since: taken for one that stands still, it would end a
+    run of which nearly all work is done, and its worker be blamed for it.
+    """
+    if placement.percent < WHOLE_PERCENT:
+        return False
+    return any(p.percent < WHOLE_PERCENT for p in unit.placements.values())
+
+
+def measure_patience(unit: Unit, placement: Placement) -> float:
+    """Return for how long a run may stand still before it is given up, in seconds.
+
+    Workers that hang mostly go on after some seconds. Giving up loses what the run has
+    done and not saved, so it waits for as long as it had worked: whenever the worker
+    comes back, no more than twice the better of the two choices is lost.
+    """
+    if unit.step.checkpoints:
+        return STALL_S
+    return max(STALL_S, placement.moved_at - unit.active_since)
 
 
 def find_suspect_pools(workers: Iterable[Worker], now: float) -> set[str]:
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -2,7 +2,16 @@
 
 from ..models.order import EndedTask, Ending, TaskId, WorkerReport
 from ..models.workload import WorkerEntry
-from .health import blame_worker, clear_blame, is_stalled, note_percent
+from .health import (
+    STALL_S,
+    WHOLE_PERCENT,
+    blame_worker,
+    clear_blame,
+    is_stalled,
+    measure_patience,
+    note_percent,
+    waits_for_members,
+)
 from .runs import Runs
 from .state import Phase, Placement, Unit, UnitState, Worker, find_unit
 
@@ -56,12 +65,20 @@
                 unit = placement.unit
                 if unit is None or placement.phase is not Phase.ACTIVE:
                     continue
-                if not worker.reachable or not is_stalled(placement, now):
+                if not worker.reachable:
+                    continue
+                if not is_stalled(placement, now, longer_than=STALL_S):
                     continue
                 if unit.step.lasting or not unit.working:
                     continue
-                unit.avoided.add(worker.worker_id)
+                if waits_for_members(unit, placement):
+                    continue
+                # Also while the run may still go on: nothing else shall begin there.
                 quarantined = blame_worker(worker, unit.job.accepted.job_id, now)
+                patience_s = measure_patience(unit, placement)
+                if not is_stalled(placement, now, longer_than=patience_s):
+                    continue
+                unit.avoided.add(worker.worker_id)
                 self.note(
                     "run stands still",
                     job=unit.job.accepted.job_id,
@@ -99,10 +116,15 @@
     def _read_running(
         self, placement: Placement, checkpoint: str, percent: float, now: float
     ) -> None:
-        if placement.phase in (Phase.SENT, Phase.RECOVERED):
+        unit = placement.unit
+        if placement.phase is Phase.SENT:
             self._activate(placement, now)
+        elif placement.phase is Phase.RECOVERED and unit is not None:
+            # Counted from now, work that an earlier leader began would look as if it
+            # had just begun: the first to be stopped, though it is nearly done.
+            worked_s = self.estimate_run(unit) * percent / WHOLE_PERCENT
+            self._activate(placement, now, worked_s=worked_s)
         note_percent(placement, percent, now)
-        unit = placement.unit
         if unit is not None:
             self.speeds.note_progress(unit, placement, now)
         if unit is not None and checkpoint and unit.state is UnitState.BUSY:
@@ -170,7 +192,7 @@
             self.note("worker quarantined", worker=worker.worker_id, cause="failures")
 
     def _learn_runtime(self, unit: Unit, placement: Placement, now: float) -> None:
-        if not placement.active_at:
+        if not placement.whole:
             return
         key = (unit.job.accepted.queue, unit.step_index)
         spent = now - placement.active_at
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -253,12 +253,20 @@
         job.touch()
         self.dirty[job.accepted.job_id] = job
 
-    def _activate(self, placement: Placement, now: float) -> None:
+    def estimate_run(self, unit: Unit) -> float:
+        """Return how long a run takes, in seconds; declared times are far off."""
+        key = (unit.job.accepted.queue, unit.step_index)
+        return self.runtimes.get(key, unit.step.estimate_s)
+
+    def _activate(
+        self, placement: Placement, now: float, *, worked_s: float = 0.0
+    ) -> None:
         unit = placement.unit
         fresh = unit is not None and not unit.checkpoint
-        placement.timed = placement.phase is Phase.SENT and fresh
+        placement.whole = placement.phase is Phase.SENT and fresh
+        placement.timed = placement.whole
         placement.phase = Phase.ACTIVE
-        placement.active_at = now
+        placement.active_at = now - worked_s
         placement.moved_at = now
         if placement.settled_at in (math.inf, -math.inf):
             placement.settled_at = now
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -50,9 +50,9 @@
     """One task of a run on one worker; it holds room until its end is proved.
 
     ``settled_at`` is when the last order for it was answered: a look that left
-    later and does not list the task proves that it is not there. ``timed`` says that
-    it began under this leader, from nothing, and that its worker's speed was not read
-    from it yet.
+    later and does not list the task proves that it is not there. ``whole`` says that it
+    began under this leader and from nothing, so that its times can be learned from;
+    ``timed`` that moreover its worker's speed was not read from it yet.
     """
 
     unit: "Unit | None"
@@ -65,6 +65,7 @@
     active_at: float = 0.0
     percent: float = 0.0
     moved_at: float = 0.0
+    whole: bool = False
     timed: bool = False
     stop_tried_at: float = -math.inf
     stop_answered: bool = False
