Greet the same few peers for a while, and close idle links sooner

Cause: each greeting drew its peers anew, so that within the minute that an idle link is kept every node of a large fleet had one to every other, with a sign of life a second at both ends: work that grows with the square of the fleet.

Change: a node greets the same witness of each other domain while it answers, and draws its random peer every 5 s; a link that nobody used for 15 s (60 s before) is closed.

Ruled out: fewer greetings (a cut domain must be noticed within 0.9 s), one witness in all (it may be in the domain that is cut off).

Test: fleets of 30, 100 and 300 nodes over a minute of greetings; no node greets more than 16 others within the time that a link is kept, and it still hears of nearly all.

--- a/features/node_configuration.feature
+++ b/features/node_configuration.feature
@@ -32,3 +32,18 @@
     Given a fleet of 30 nodes of which the store turns none away
     When three configurations of 6000 bytes come at once
     Then no node was sent a configuration by a peer
+
+  Scenario Outline: A node talks to a few others, however large the fleet
+    Each peer greeted is a connection that is kept alive for a while. Drawn anew for each
+    greeting, every node of a large fleet had one to every other: the signs of life alone
+    kept processors and links of small VMs busy, and more so the larger the fleet.
+    Given a fleet of <nodes> nodes of which the store turns none away
+    When 60 s of greetings pass
+    Then no node greeted more than 16 others within 15 s
+    And every node has heard of at least <known> others
+
+    Examples:
+      | nodes | known |
+      | 30    | 29    |
+      | 100   | 90    |
+      | 300   | 90    |
--- a/features/steps/node_configuration_steps.py
+++ b/features/steps/node_configuration_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import collections
 import json
 import random
 import statistics
@@ -9,11 +10,12 @@
 from firladder._internal.exceptions import PeerUnreachable
 from firladder._internal.models.message import (
     AdvertiseConfiguration,
+    GreetNode,
     NodeView,
 )
+from firladder._internal.network.fabric import IDLE_LINK_S
 from firladder._internal.node.configuration import ConfigurationStore
-from firladder._internal.node.fleet import CATCH_UP_S, Fleet
-from firladder._internal.utils.clocks import SystemClock
+from firladder._internal.node.fleet import CATCH_UP_S, GREET_S, Fleet
 
 DOMAINS = 5
 ENVELOPE_BYTES = 120
@@ -39,6 +41,23 @@
         super()._run_once()
 
 
+class LoopClock:
+    """Reads the virtual clock; stands still between two plays."""
+
+    def __init__(self):
+        self.now = 0.0
+
+    def read_monotonic(self):
+        try:
+            self.now = max(self.now, asyncio.get_running_loop().time())
+        except RuntimeError:
+            return self.now
+        return self.now
+
+    def read_wall(self):
+        return self.read_monotonic()
+
+
 def play(work):
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         runner.run(work)
@@ -50,6 +69,7 @@
     def __init__(self):
         self.handlers = {}
         self.sent = {}
+        self.greeted = collections.defaultdict(set)
         self.given = 0
         self.lose_adverts = False
 
@@ -71,6 +91,8 @@
         ip = address.split(":")[0]
         exchange = self.exchange
         self._count(self.ip, body)
+        if isinstance(body, GreetNode):
+            exchange.greeted[self.ip].add(ip)
         if exchange.lose_adverts and isinstance(body, AdvertiseConfiguration):
             return PeerUnreachable(reason="lost")
         await asyncio.sleep(0)
@@ -89,7 +111,7 @@
 def build_large_fleet(context, count, share):
     rng = random.Random(11)
     context.exchange = Exchange()
-    context.clock = SystemClock()
+    context.clock = LoopClock()
     ips = [f"10.{n % DOMAINS}.{n // 250}.{n % 250}" for n in range(count)]
     turned_away = {"none": 0, "a third": count // 3}[share]
     context.served = set(ips) - set(rng.sample(ips, turned_away))
@@ -173,3 +195,33 @@
 @then("no node was sent a configuration by a peer")
 def check_none_given(context):
     assert context.exchange.given == 0, context.exchange.given
+
+
+@when("{seconds:d} s of greetings pass")
+def greet_long(context, seconds):
+    context.busiest = 0
+
+    async def greet():
+        for number in range(int(seconds / GREET_S)):
+            if number * GREET_S % IDLE_LINK_S == 0:
+                context.exchange.greeted.clear()
+            for fleet, _configuration in context.nodes.values():
+                fleet.greet_some()
+            await asyncio.sleep(GREET_S)
+            most = max(map(len, context.exchange.greeted.values()))
+            context.busiest = max(context.busiest, most)
+        await close(context)
+
+    play(greet())
+
+
+@then("no node greeted more than {most:d} others within {seconds:d} s")
+def check_greeted(context, most, seconds):
+    assert seconds == IDLE_LINK_S
+    assert context.busiest <= most, context.busiest
+
+
+@then("every node has heard of at least {count:d} others")
+def check_known(context, count):
+    least = min(len(fleet.list_peers()) for fleet, _ in context.nodes.values())
+    assert least >= count, least
--- a/src/firladder/_internal/network/fabric.py
+++ b/src/firladder/_internal/network/fabric.py
@@ -43,8 +43,9 @@
 it: a connection may fall silent for good without a reset, while a new one would
 work; only this shows it."""
 
-IDLE_LINK_S = 60.0
-"""Seconds after which a link that nobody used is closed."""
+IDLE_LINK_S = 15.0
+"""Seconds after which a link that nobody used is closed. An open one costs a sign of
+life a second at both its ends; a new one costs a handshake."""
 
 B = TypeVar("B", bound=Body)
 MessageHandler = Callable[[Any], Awaitable[AnyBody | None]]
--- a/src/firladder/_internal/node/fleet.py
+++ b/src/firladder/_internal/node/fleet.py
@@ -7,7 +7,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 
 from ..exceptions import PeerUnreachable
 from ..models.message import (
@@ -37,6 +37,11 @@
 rounds of greetings. A peer that is gone for good would else be asked for ever: each
 question takes its whole time-out, and what became of it is not known."""
 
+PARTNER_S = 5.0
+"""Seconds for which the same peer is greeted before another is drawn. Each peer greeted
+is a connection with signs of life of its own: drawn anew each time, a node of a large
+fleet has one to every other, and these cost more than all that it does for callers."""
+
 FORGET_S = 20.0
 """Seconds of silence after which a peer is no longer greeted."""
 
@@ -89,6 +94,9 @@
         self.leader_token = 0
         self.on_leader: list[Callable[[], None]] = []
         fabric.handle(GreetNode, self._answer_greeting)
+        self._partner = ""
+        self._partner_until = 0.0
+        self._witnesses: dict[str, str] = {}
         self._newest_heard = 0
         self._newest_from = ""
         self._catching_up = False
@@ -120,17 +128,34 @@
         """Return whom to greet to learn whether other failure domains answer.
 
         Nodes of one's own domain answer also when the domain is cut off. One of each
-        other domain is greeted: a single one may be in the domain that is cut off.
+        other domain is greeted: a single one may be in the domain that is cut off. It
+        stays the same one as long as it answers.
         """
         by_domain: dict[str, list[str]] = {}
         for ip in self._list_others():
             by_domain.setdefault(self._domains[ip], []).append(ip)
+        for domain, ips in by_domain.items():
+            if self._witnesses.get(domain) not in ips:
+                self._witnesses[domain] = self._rng.choice(ips)
         return [
-            self._rng.choice(ips)
-            for ips in by_domain.values()
+            self._witnesses[domain]
+            for domain, ips in by_domain.items()
             if not set(ips).intersection(chosen)
         ]
 
+    def _choose_partner(self, peers: Sequence[str]) -> str:
+        now = self._clock.read_monotonic()
+        if now >= self._partner_until or self._partner not in peers:
+            self._partner = self._rng.choice(peers)
+            self._partner_until = now + PARTNER_S
+        return self._partner
+
+    def _give_up_witness(self, ip: str) -> None:
+        """Let the next round greet others than a peer that did not answer."""
+        self._witnesses = {d: w for d, w in self._witnesses.items() if w != ip}
+        if ip == self._partner:
+            self._partner = ""
+
     def measure_silence(self) -> float | None:
         """Return for how long no node of another failure domain has answered.
 
@@ -242,7 +267,7 @@
     def greet_some(self) -> None:
         """Greet the peers of one round in the background."""
         peers = self.list_peers()
-        chosen = set(self._rng.sample(peers, min(len(peers), 1)))
+        chosen = {self._choose_partner(peers)} if peers else set()
         if self.leader_ip and not self.leads:
             chosen.add(self.leader_ip)
         chosen.update(self._choose_witnesses(chosen))
@@ -254,6 +279,7 @@
     async def _greet(self, ip: str) -> None:
         view = await self.ask(ip, self._describe(), timeout_s=GREET_TIMEOUT_S)
         if not isinstance(view, NodeView):
+            self._give_up_witness(ip)
             return
         now = self._clock.read_monotonic()
         self._heard[ip] = now
