Hold room while stops are on their way, and count the runs that a victim has lost

Change: room that is being made is kept for up to 5 s while the stopped work still holds it; each run that a unit has lost adds a second of its cores to what stopping it costs.

Tests: features/engine_evictions.feature; two of its three scenarios fail on the code before.

--- /dev/null
+++ b/features/steps/engine_evictions_steps.py
@@ -0,0 +1,119 @@
+from behave import given, then, when
+
+from features.support.engine_world import EngineWorld, make_job, make_step
+from firladder._internal.engine.state import Phase
+from firladder._internal.models.order import RunningTask
+
+PASS_S = 0.25
+"""Seconds between two passes while nothing else happens."""
+
+GANG = make_step(2, 8, gang=True)
+
+
+def begin(world, name):
+    world.submit(make_job(name, GANG, at=world.now))
+    world.accept(world.start_all())
+    assert world.find_unit(name).working
+
+
+def stop_and_restart(world, name):
+    world.core.evict(world.find_unit(name))
+    for placement in list(world.find_unit(name).placements.values()):
+        world.end(placement, "stopped")
+    world.accept(world.start_all())
+    assert world.find_unit(name).working
+
+
+def submit_urgent(world):
+    step = make_step(1, 8, gang=True)
+    world.submit(make_job("urgent", step, priority=0, at=world.now))
+    world.plan()
+
+
+def list_stopped(world, names):
+    return [name for name in names if not world.find_unit(name).working]
+
+
+@given('workers 0 to 3, and a gang "patient" of 2 that urgent work has stopped 3 times')
+def stop_often(context):
+    context.world = EngineWorld(4)
+    begin(context.world, "patient")
+    for _ in range(3):
+        stop_and_restart(context.world, "patient")
+
+
+@given(
+    '"patient" at work for {short:f} s beside a gang "new" of 2 at work for {long:f} s'
+)
+def begin_both(context, short, long):
+    world = context.world
+    begin(world, "new")
+    world.now += long - short
+    stop_and_restart(world, "patient")
+    world.now += short
+
+
+@when("an urgent job of one task finds no room")
+def find_no_room(context):
+    submit_urgent(context.world)
+
+
+@given("workers 0 to 3, and two gangs of 2 at work on them")
+def begin_two(context):
+    context.world = EngineWorld(4)
+    for name in ("one", "two"):
+        begin(context.world, name)
+    context.world.now += 1.0
+
+
+@when("an urgent job of one task makes room")
+def make_room(context):
+    submit_urgent(context.world)
+    assert len(list_stopped(context.world, ("one", "two"))) == 1
+
+
+def wait(world, seconds):
+    """Let workers answer looks without the ends of what is being stopped."""
+    until = world.now + seconds
+    while world.now < until:
+        world.now += PASS_S
+        for worker in world.core.workers.values():
+            rows = [
+                RunningTask(p.task, p.run, "", 10)
+                for p in worker.placements.values()
+                if p.phase in (Phase.ACTIVE, Phase.STOPPING)
+            ]
+            world.report(worker, rows)
+        world.plan()
+
+
+@when("the ends of the stopped gang are heard of after {seconds:d} s")
+def hear_late(context, seconds):
+    world = context.world
+    wait(world, seconds)
+    context.stopped = list_stopped(world, ("one", "two"))
+    for name in context.stopped:
+        for placement in list(world.find_unit(name).placements.values()):
+            world.end(placement, "stopped")
+    world.accept(world.start_all())
+
+
+@when("the ends of the stopped gang are not heard of for {seconds:d} s")
+def hear_nothing(context, seconds):
+    wait(context.world, seconds)
+    context.stopped = list_stopped(context.world, ("one", "two"))
+
+
+@then("one gang was stopped")
+def check_one(context):
+    assert len(context.stopped) == 1, context.stopped
+
+
+@then("both gangs were stopped")
+def check_both(context):
+    assert len(context.stopped) == 2, context.stopped
+
+
+@then("the urgent job has begun")
+def check_begun(context):
+    assert context.world.find_unit("urgent").working
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -17,12 +17,16 @@
 )
 from .preemption import ACCELERATOR_CORES, Eviction, EvictionPlanner
 from .shortages import ANY_WORKER_S, Shortages, Wish
-from .state import Job, Phase, Unit, UnitState, Worker
+from .state import Job, Phase, Placement, Unit, UnitState, Worker
 
 EVICTION_S = 1.5
 """Seconds for which room made by an eviction is kept for the unit that it was
 made for; stops take some 200 ms, and a look to see the end."""
 
+SLOW_EVICTION_S = 5.0
+"""The same while stopped work still holds it: a leader behind a full link, or one with
+hundreds of stops to send, sees their ends late."""
+
 MOST_RESERVATIONS = 3
 """Waiting gangs for which room is kept free in one pass. Each keeps workers from
 smaller work, so that a steady stream of it does not starve the gang; more than
@@ -64,10 +68,26 @@
 accelerators from others all that while."""
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class _Claim:
+    """Room that is being made: where, since when, and what still has to go."""
+
     workers: tuple[str, ...]
-    until: float
+    made_at: float
+    stopped: tuple[Placement, ...]
+
+    def holds(self, now: float, workers: Mapping[str, Worker]) -> bool:
+        """Tell whether the room is still kept.
+
+        Given up while the stops are on their way, it would be made once more
+        somewhere else: the work of one urgent gang then stops that of three.
+        """
+        if now < self.made_at + EVICTION_S:
+            return True
+        return now < self.made_at + SLOW_EVICTION_S and any(
+            p.worker_id in workers and p.key in workers[p.worker_id].placements
+            for p in self.stopped
+        )
 
 
 class Planner:
@@ -251,7 +271,7 @@
         self._claims = {
             key: claim
             for key, claim in self._claims.items()
-            if key in live and now < claim.until
+            if key in live and claim.holds(now, self._core.workers)
         }
         by_id = {c.worker_id: c for pool in candidates.values() for c in pool}
         for unit in waiting:
@@ -410,10 +430,11 @@
             victims=sorted({v.job.accepted.job_id for v in found.victims}),
             cost_core_s=round(found.cost, 1),
         )
+        stopped = tuple(p for v in found.victims for p in v.placements.values())
         for victim in found.victims:
             self._estimates.note_change(victim)
             self._core.evict(victim)
-        self._claims[id(unit)] = _Claim(found.workers, now + EVICTION_S)
+        self._claims[id(unit)] = _Claim(found.workers, now, stopped)
         by_id = {c.worker_id: c for c in pool}
         for worker_id in found.workers:
             by_id[worker_id].free = by_id[worker_id].free - unit.step.need
--- a/src/firladder/_internal/engine/preemption.py
+++ b/src/firladder/_internal/engine/preemption.py
@@ -11,6 +11,11 @@
 """Cores that one accelerator counts for when lost work is weighed; the price
 list of the platform counts it so."""
 
+RUN_LOST_S = 1.0
+"""Seconds of its cores that a unit's cost grows by with each run that it has lost. What
+was only just begun costs nothing to stop, so that it is always the first: without this
+the same gang is begun and stopped again and again, and never ends."""
+
 NEAR_END_WEIGHT = 1.0
 """Extra weight of work by the share that is done: what ends soon gives its room
 back by itself, so it is the last to be stopped."""
@@ -29,17 +34,19 @@
     """Return what is lost when a unit is stopped, in core-seconds.
 
     A task that saves its progress does so at a stop too, however long ago it did
-    last: it loses ``restart_s``, the stop and the restoring.
+    last: it loses ``restart_s``, the stop and the restoring. Runs that were lost before
+    count as well, whether this one is at work yet or not.
     """
-    active = [p for p in unit.placements.values() if p.active_at]
-    if not active:
-        return 0.0
     need = unit.step.need
     cores = need.cpu_milli / 1000 + need.accelerators * ACCELERATOR_CORES
+    lost_before = cores * len(unit.indices) * RUN_LOST_S * (unit.run - 1)
+    active = [p for p in unit.placements.values() if p.active_at]
+    if not active:
+        return lost_before
     elapsed = now - max(p.active_at for p in active)
     done = max(p.percent for p in active) / 100
     lost_s = min(elapsed, restart_s) if unit.step.checkpoints else elapsed
-    return cores * len(active) * lost_s * (1 + NEAR_END_WEIGHT * done)
+    return lost_before + cores * len(active) * lost_s * (1 + NEAR_END_WEIGHT * done)
 
 
 def list_victims(worker: Worker, *, below: int) -> list[Unit]:
