--- a/features/engine_stalls.feature
+++ b/features/engine_stalls.feature
@@ -51,6 +51,15 @@
     When an urgent job of one task finds no room after 5 s
     Then "young" is stopped and "old" goes on
 
+  Scenario: A gang counts whole before each of its workers was heard
+    A new leader hears from some workers sooner than from others. A gang of twenty of which
+    one member was heard counted as one task, and was stopped for the first urgent job.
+    Given workers 0 to 2 at work on a gang "old" of 3 since 0 s
+    And workers 3 to 3 at work on a gang "single" of 1 since 0 s
+    When another leader has heard of "old" from worker 0 at 40 per cent, of "single" at 60
+    And an urgent job of one task finds no room there
+    Then "single" is stopped and "old" goes on as far as was heard
+
   Scenario: A successor does not learn run times from what it has not seen begin
     Inherited work ends soon after the takeover. Learned from, it made all work look short:
     waiting gangs got workers kept for them that were far from free.
--- a/features/steps/engine_stalls_steps.py
+++ b/features/steps/engine_stalls_steps.py
@@ -171,3 +171,38 @@
 def check_expected(context, seconds):
     world = context.world
     assert Estimates(world.core).estimate_run(world.find_unit("old")) == seconds
+
+
+@when(
+    'another leader has heard of "{gang}" from worker 0 at {one:d} per cent, '
+    'of "{single}" at {other:d}'
+)
+def hear_some(context, gang, one, single, other):
+    world = context.world
+    world.now = context.began + 4
+    world.succeed()
+    for name, percent in (("w0", one), ("w3", other)):
+        worker = world.core.workers[name]
+        rows = [
+            RunningTask(p.task, p.run, "", percent) for p in worker.placements.values()
+        ]
+        world.report(worker, rows)
+
+
+@when("an urgent job of one task finds no room there")
+def find_no_room_there(context):
+    world = context.world
+    step = make_step(1, 8, gang=True)
+    world.submit(make_job("urgent", step, priority=0, at=world.now))
+    world.plan()
+
+
+@then('"{stopped}" is stopped and "{kept}" goes on as far as was heard')
+def check_heard(context, stopped, kept):
+    world = context.world
+    phases = {
+        name: {p.phase for p in world.find_unit(name).placements.values()}
+        for name in (stopped, kept)
+    }
+    assert phases[stopped] == {Phase.STOPPING}, phases
+    assert Phase.STOPPING not in phases[kept], phases
--- a/src/firladder/_internal/engine/preemption.py
+++ b/src/firladder/_internal/engine/preemption.py
@@ -46,7 +46,9 @@
     elapsed = now - max(p.active_at for p in active)
     done = max(p.percent for p in active) / 100
     lost_s = min(elapsed, restart_s) if unit.step.checkpoints else elapsed
-    return lost_before + cores * len(active) * lost_s * (1 + NEAR_END_WEIGHT * done)
+    # A successor has not heard of each member yet; those work as long as the others.
+    at_work = len(unit.placements)
+    return lost_before + cores * at_work * lost_s * (1 + NEAR_END_WEIGHT * done)
 
 
 def list_victims(worker: Worker, *, below: int) -> list[Unit]:
