Ask workers that hold runs again within a second of their return

A look costs a hundred-thousandth of what such a gang does. Looks at workers that hold nothing stay as rare as they were.

--- a/src/firladder/_internal/node/attendant.py
+++ b/src/firladder/_internal/node/attendant.py
@@ -35,15 +35,24 @@
 """Seconds for the answer to a look that does not wait."""
 
 LOOK_AGAIN_S = 0.25
-"""Seconds until a failed look is repeated; it doubles up to ``MOST_PAUSE_S``."""
+"""Seconds until a failed look is repeated; it doubles up to one of the next two."""
 
 MOST_PAUSE_S = 1.0
 
+HELD_PAUSE_S = 0.4
+"""The most while runs of ours may go on there. After a cut their leases have a second
+or two left: a look that comes later finds a gang's work lost."""
+
 DURABLE_WAIT_S = 0.25
 """Seconds for which a look is put off until the ends that were read are durable:
 a worker answers at once while it has ends that nobody acknowledged."""
 
 
+def lengthen_pause(pause_s: float, *, holds_runs: bool) -> float:
+    """Return for how long to wait after one more failed look, in seconds."""
+    return min(2 * pause_s, HELD_PAUSE_S if holds_runs else MOST_PAUSE_S)
+
+
 class Owner(Protocol):
     """What an attendant needs of the term that it belongs to."""
 
@@ -109,7 +118,7 @@
                 pause_s = LOOK_AGAIN_S
                 continue
             await asyncio.sleep(pause_s)
-            pause_s = min(2 * pause_s, MOST_PAUSE_S)
+            pause_s = lengthen_pause(pause_s, holds_runs=bool(self._worker.placements))
 
     async def _await_durable_ends(self) -> None:
         worker = self._worker
