--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -1,12 +1,15 @@
 """One pass over all waiting work: who starts where, and who makes way."""
 
 import dataclasses
+import itertools
 import math
 from collections.abc import Iterator, Mapping, Sequence
 
 from ..models.workload import Queue, Resources
+from .claims import Claim, Claims, has_come
 from .core import Core
 from .estimating import Estimates
+from .evacuation import list_leaving
 from .health import find_suspect_pools
 from .idleness import FAR_AFTER_S, LENT_AFTER_S, find_idle_pools, stands_still
 from .placement import (
@@ -17,15 +20,7 @@
 )
 from .preemption import ACCELERATOR_CORES, Eviction, EvictionPlanner
 from .shortages import ANY_WORKER_S, Shortages, Wish
-from .state import Job, Phase, Placement, Unit, UnitState, Worker
-
-EVICTION_S = 1.5
-"""Seconds for which room made by an eviction is kept for the unit that it was
-made for; stops take some 200 ms, and a look to see the end."""
-
-SLOW_EVICTION_S = 5.0
-"""The same while stopped work still holds it: a leader behind a full link, or one with
-hundreds of stops to send, sees their ends late."""
+from .state import Job, Unit, UnitState, Worker
 
 MOST_RESERVATIONS = 3
 """Waiting gangs for which room is kept free in one pass. Each keeps workers from
@@ -39,14 +34,6 @@
 away for a small job, and is late itself. Within the guarantee nothing bounds it:
 those accelerators were only lent."""
 
-LAST_MOMENT_S = 0.8
-"""Seconds before a worker leaves at which work that saves its progress is stopped:
-the stop takes up to 0.2 s, and a look must still see its end and checkpoint."""
-
-DRAIN_SLACK_S = 1.0
-"""Seconds that a worker is taken to stay beyond the least that it names; mostly it
-is a little longer."""
-
 PATIENCE_SHARE = 0.35
 """Share of the time within which guaranteed work must begin, for which it waits for
 room that costs less than ``LOSS_FOR_WORK``. Stops and orders need the rest. Few such
@@ -68,28 +55,6 @@
 accelerators from others all that while."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Claim:
-    """Room that is being made: where, since when, and what still has to go."""
-
-    workers: tuple[str, ...]
-    made_at: float
-    stopped: tuple[Placement, ...]
-
-    def holds(self, now: float, workers: Mapping[str, Worker]) -> bool:
-        """Tell whether the room is still kept.
-
-        Given up while the stops are on their way, it would be made once more
-        somewhere else: the work of one urgent gang then stops that of three.
-        """
-        if now < self.made_at + EVICTION_S:
-            return True
-        return now < self.made_at + SLOW_EVICTION_S and any(
-            p.worker_id in workers and p.key in workers[p.worker_id].placements
-            for p in self.stopped
-        )
-
-
 class Planner:
     """Plans passes; remembers only for whom room is being made."""
 
@@ -103,7 +68,7 @@
         self._estimates = Estimates(core)
         self._reclaim_s = reclaim_s
         self._restart_s = restart_s
-        self._claims: dict[int, _Claim] = {}
+        self._claims = Claims()
         self._queues: dict[str, Queue] = {}
         self._idle_pools: set[str] = set()
         self._shortages = Shortages()
@@ -124,7 +89,12 @@
         waiting = sorted(
             self._list_waiting(now, wall), key=lambda unit: self._rank(unit, wall)
         )
-        self._hold_claims(waiting, candidates, now)
+        self._claims.hold(
+            waiting,
+            itertools.chain.from_iterable(candidates.values()),
+            now=now,
+            workers=core.workers,
+        )
         planned = 0
         blocked: set[tuple[str, int, int]] = set()
         reservations = 0
@@ -135,7 +105,7 @@
                 continue
             pool_name = self._find_pool(job)
             pool = candidates.get(pool_name, [])
-            claim = self._claims.get(id(unit))
+            claim = self._claims.find(unit)
             if claim is not None:
                 planned += self._use_claim(unit, claim, pool)
                 continue
@@ -261,38 +231,10 @@
         age_s = wall - accepted.accepted_at_s
         return objective_s < age_s + takes_s and age_s < VERY_LATE * objective_s
 
-    def _hold_claims(
-        self,
-        waiting: Sequence[Unit],
-        candidates: dict[str, list[Candidate]],
-        now: float,
-    ) -> None:
-        live = {id(u) for u in waiting}
-        self._claims = {
-            key: claim
-            for key, claim in self._claims.items()
-            if key in live and claim.holds(now, self._core.workers)
-        }
-        by_id = {c.worker_id: c for pool in candidates.values() for c in pool}
-        for unit in waiting:
-            claim = self._claims.get(id(unit))
-            if claim is None:
-                continue
-            if any(w not in by_id for w in claim.workers):
-                del self._claims[id(unit)]
-                continue
-            for worker_id in claim.workers:
-                by_id[worker_id].free = by_id[worker_id].free - unit.step.need
-
-    def _use_claim(self, unit: Unit, claim: _Claim, pool: Sequence[Candidate]) -> int:
-        by_id = {c.worker_id: c for c in pool}
-        # The claim's own room was taken off before; what is left below zero is
-        # room that stopped work has not given back yet.
-        for worker_id in set(claim.workers):
-            left = by_id[worker_id].free
-            if min(left.cpu_milli, left.memory_mb, left.accelerators) < 0:
-                return 0
-        del self._claims[id(unit)]
+    def _use_claim(self, unit: Unit, claim: Claim, pool: Sequence[Candidate]) -> int:
+        if not has_come(claim, pool):
+            return 0
+        self._claims.drop(unit)
         self._core.plan_run(unit, claim.workers)
         self._estimates.note_change(unit)
         return 1
@@ -374,40 +316,10 @@
         self._estimates.note_change(unit)
 
     def evacuate(self, now: float) -> None:
-        """Move work off workers that leave before it can be done.
-
-        Answers workers that are replaced in turn or taken away at short notice:
-        what still runs there when they go is lost, and known to be lost only when
-        its lease has ended. Work that saves its progress is stopped at the last
-        moment, work that loses everything anyway at once.
-        """
+        """Move work off workers that leave before it can be done."""
         self._estimates.begin_pass()
-        for worker in list(self._core.workers.values()):
-            left_s = worker.measure_time_left(now)
-            if left_s is None or not worker.reachable:
-                continue
-            for placement in list(worker.placements.values()):
-                unit = placement.unit
-                if unit is None or placement.phase is not Phase.ACTIVE:
-                    continue
-                if unit.state is not UnitState.BUSY:
-                    continue
-                if self._must_leave(unit, left_s, now):
-                    self._core.note(
-                        "moved off a draining worker",
-                        job=unit.job.accepted.job_id,
-                        worker=worker.worker_id,
-                        leaves_in_s=round(left_s, 2),
-                    )
-                    self._core.evict(unit)
-
-    def _must_leave(self, unit: Unit, left_s: float, now: float) -> bool:
-        needed_s = self._estimates.estimate_left(unit, now)
-        if needed_s <= left_s:
-            return False
-        if unit.step.checkpoints:
-            return left_s < LAST_MOMENT_S
-        return needed_s > left_s + DRAIN_SLACK_S
+        for unit in list_leaving(self._core, self._estimates, now):
+            self._core.evict(unit)
 
     def _make_room(self, unit: Unit, pool: list[Candidate], now: float) -> bool:
         planner = EvictionPlanner(
@@ -434,7 +346,7 @@
         for victim in found.victims:
             self._estimates.note_change(victim)
             self._core.evict(victim)
-        self._claims[id(unit)] = _Claim(found.workers, now, stopped)
+        self._claims.add(unit, Claim(found.workers, now, stopped))
         by_id = {c.worker_id: c for c in pool}
         for worker_id in found.workers:
             by_id[worker_id].free = by_id[worker_id].free - unit.step.need
