--- a/features/engine_evictions.feature
+++ b/features/engine_evictions.feature
@@ -25,3 +25,14 @@
     When an urgent job of one task makes room
     And the ends of the stopped gang are not heard of for 6 s
     Then both gangs were stopped
+
+  Scenario: What was stopped for urgent work does not begin again at once
+    A burst of urgent jobs meets a full pool. What the first one stopped began again on
+    the next worker that came free, where the second one stopped it a moment later:
+    hundreds of orders a second, which made the leader late for the urgent jobs.
+    Given workers 0 to 3, and two gangs of 2 at work on them
+    When an urgent job of one task makes room
+    And the ends of the stopped gang are heard of after 0 s
+    And the other gang is done
+    Then the stopped gang does not begin within 0.7 s
+    And it begins within 1.3 s
--- a/features/steps/engine_evictions_steps.py
+++ b/features/steps/engine_evictions_steps.py
@@ -104,6 +104,33 @@
     context.stopped = list_stopped(context.world, ("one", "two"))
 
 
+@when("the other gang is done")
+def end_other(context):
+    world = context.world
+    (context.other,) = {"one", "two"} - set(context.stopped)
+    for placement in list(world.find_unit(context.other).placements.values()):
+        world.end(placement, "done")
+    context.since = world.now
+
+
+def begins_within(context, seconds):
+    world = context.world
+    while world.now + PASS_S <= context.since + seconds:
+        world.now += PASS_S
+        world.accept(world.start_all())
+    return world.find_unit(context.stopped[0]).working
+
+
+@then("the stopped gang does not begin within {seconds:f} s")
+def check_rests(context, seconds):
+    assert not begins_within(context, seconds)
+
+
+@then("it begins within {seconds:f} s")
+def check_begins(context, seconds):
+    assert begins_within(context, seconds)
+
+
 @then("one gang was stopped")
 def check_one(context):
     assert len(context.stopped) == 1, context.stopped
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -22,6 +22,11 @@
 from .shortages import ANY_WORKER_S, Shortages, Wish
 from .state import Job, Unit, UnitState, Worker
 
+REST_S = 1.0
+"""Seconds for which a unit that was stopped for urgent work waits before it is planned
+again. In a burst it would take the room that the next urgent job needs a moment later,
+and each time cost an order to begin, one to stop, and what it had done meanwhile."""
+
 MOST_RESERVATIONS = 3
 """Waiting gangs for which room is kept free in one pass. Each keeps workers from
 smaller work, so that a steady stream of it does not starve the gang; more than
@@ -177,6 +182,8 @@
                     continue
                 for unit in units:
                     if unit.state is UnitState.WAITING and not unit.placements:
+                        if now < unit.rests_until:
+                            continue
                         if unit.ready_at < 0:
                             unit.ready_at = now
                         yield unit
@@ -346,6 +353,7 @@
         for victim in found.victims:
             self._estimates.note_change(victim)
             self._core.evict(victim)
+            victim.rests_until = now + REST_S
         self._claims.add(unit, Claim(found.workers, now, stopped))
         by_id = {c.worker_id: c for c in pool}
         for worker_id in found.workers:
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -82,7 +82,8 @@
 
     ``failed_runs`` names the runs of which a task failed. They are numbers, not a
     count: a run's failure may be listed by several members, again to a successor, and
-    long after the run was given up.
+    long after the run was given up. A unit that was stopped for urgent work is not
+    planned again before ``rests_until``.
     """
 
     job: "Job"
@@ -97,6 +98,7 @@
     ready_at: float = -1.0
     placements: dict[int, Placement] = dataclasses.field(default_factory=dict)
     planned_version: int = 0
+    rests_until: float = 0.0
     avoided: set[str] = dataclasses.field(default_factory=set)
 
     @property
