--- a/features/steps/engine_stalls_steps.py
+++ b/features/steps/engine_stalls_steps.py
@@ -146,6 +146,10 @@
     world = context.world
     world.now = context.began + at
     look(context, {"old": (99, 99, 99), "young": (20,) * 6})
+    submit_urgent(world)
+
+
+def submit_urgent(world):
     step = make_step(1, 8, gang=True)
     world.submit(make_job("urgent", step, priority=0, at=world.now))
     world.plan()
@@ -191,10 +195,7 @@
 
 @when("an urgent job of one task finds no room there")
 def find_no_room_there(context):
-    world = context.world
-    step = make_step(1, 8, gang=True)
-    world.submit(make_job("urgent", step, priority=0, at=world.now))
-    world.plan()
+    submit_urgent(context.world)
 
 
 @then('"{stopped}" is stopped and "{kept}" goes on as far as was heard')
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -349,7 +349,12 @@
             victims=sorted({v.job.accepted.job_id for v in found.victims}),
             cost_core_s=round(found.cost, 1),
         )
-        stopped = tuple(p for v in found.victims for p in v.placements.values())
+        stopped = tuple(
+            placement
+            for victim in found.victims
+            for placement in victim.placements.values()
+            if placement.worker_id in found.workers
+        )
         for victim in found.victims:
             self._estimates.note_change(victim)
             self._core.evict(victim)
--- a/src/firladder/_internal/evaluation/day_driver.py
+++ b/src/firladder/_internal/evaluation/day_driver.py
@@ -22,7 +22,7 @@
 HOLD_S = 6.0
 
 RECLAIM_S = 3.4
-"""Seconds within which guaranteed work must begin on the larger hvk site."""
+"""Seconds within which guaranteed work must begin."""
 
 START_S = 0.06
 """Seconds from a plan to the task at work: a write to the store and an order."""
