Log where a configuration came from, its size, and what a refusal rested on

A call refused with 401 or 404 had no line in the log, a failing watch none, and an adoption neither size nor source. So a node that is behind could not be told from one whose link is full, nor copies from peers from answers of the store.

No decision is changed.

--- a/features/steps/node_configuration_steps.py
+++ b/features/steps/node_configuration_steps.py
@@ -16,6 +16,8 @@
 from firladder._internal.network.fabric import IDLE_LINK_S
 from firladder._internal.node.configuration import ConfigurationStore
 from firladder._internal.node.fleet import CATCH_UP_S, GREET_S, Fleet
+from firladder._internal.utils.clocks import LogicalClock
+from firladder._internal.utils.events import Timeline
 
 DOMAINS = 5
 ENVELOPE_BYTES = 120
@@ -128,6 +130,9 @@
             configuration=configuration,
             clock=context.clock,
             rng=random.Random(number),
+            timeline=Timeline(
+                process=ip, clock=context.clock, logical=LogicalClock(), capacity=64
+            ),
             reaches_store=lambda ip=ip: ip in context.served,
         )
         configuration.listeners.append(fleet.advertise_configuration)
--- a/features/steps/node_isolation_steps.py
+++ b/features/steps/node_isolation_steps.py
@@ -8,6 +8,8 @@
 from firladder._internal.node.configuration import ConfigurationStore
 from firladder._internal.node.fleet import GREET_S, GREET_TIMEOUT_S, Fleet
 from firladder._internal.node.isolation import is_cut_off
+from firladder._internal.utils.clocks import LogicalClock
+from firladder._internal.utils.events import Timeline
 
 ROUND_S = 0.1
 
@@ -91,6 +93,9 @@
         configuration=configuration,
         clock=context.clock,
         rng=random.Random(7),
+        timeline=Timeline(
+            process="test", clock=context.clock, logical=LogicalClock(), capacity=64
+        ),
         reaches_store=lambda: True,
     )
     greet(context, 5.0)
--- a/src/firladder/_internal/node/configuration.py
+++ b/src/firladder/_internal/node/configuration.py
@@ -1,6 +1,7 @@
 """The configuration in force on this node: only rising versions are adopted."""
 
 import logging
+from collections import Counter
 from collections.abc import Callable
 
 from ..exceptions import MalformedBody
@@ -9,6 +10,9 @@
 
 logger = logging.getLogger(__name__)
 
+STORE = "store"
+"""The source of a configuration that the store sent; others are peers' IP numbers."""
+
 
 class ConfigurationStore:
     """The newest configuration that this process has seen from anywhere."""
@@ -17,6 +21,10 @@
         """Start without any."""
         self.current = QueueConfiguration(0)
         self.raw = b""
+        self.source = ""
+        self.former_version = 0
+        self.heard_version = 0
+        self.received_bytes: Counter[str] = Counter()
         self.listeners: list[Callable[[], None]] = []
         self._by_host: dict[str, list[Queue]] = {}
         self._by_key: dict[str, Organisation] = {}
@@ -33,20 +41,27 @@
         may hear of an older one from a peer that was cut off: taking it would
         bring back queues and keys that were removed.
         """
+        self.received_bytes[STORE if source == STORE else "peer"] += len(value)
         if value == self.raw:
             return False
         fresh = decode_configuration(value)
         if isinstance(fresh, MalformedBody):
             logger.warning("configuration from %s left out: %s", source, fresh.reason)
             return False
+        self.hear(fresh.version)
         if fresh.version <= self.version:
             return False
-        self.current, self.raw = fresh, value
+        self.former_version = self.version
+        self.current, self.raw, self.source = fresh, value, source
         self._index()
         for listener in self.listeners:
             listener()
         return True
 
+    def hear(self, version: int) -> None:
+        """Note that ``version`` exists, whether this node has it or not."""
+        self.heard_version = max(self.heard_version, version)
+
     def _index(self) -> None:
         self._by_host = {}
         for queue in self.current.queues:
--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -23,7 +23,7 @@
 from ..utils.tasks import TaskSet
 from ..utils.tokens import mint_incarnation
 from .answers import PeerAnswers, take_announcement
-from .configuration import ConfigurationStore
+from .configuration import STORE, ConfigurationStore
 from .election import Campaign, Leadership, choose_delay, decode_leader
 from .fleet import Fleet
 from .intake import Intake
@@ -118,6 +118,7 @@
             configuration=self.configuration,
             clock=self.clock,
             rng=self.rng,
+            timeline=self.timeline,
             reaches_store=lambda: self.store.reachable,
         )
         self.fleet.on_leader.append(self._note_leader)
@@ -133,6 +134,13 @@
             clock=self.clock,
             isolation=self.isolation,
         )
+        self._configuration_watch = self._watch(
+            CONFIGURATION_PREFIX, self._list_configuration, self._change_operator
+        )
+        self.watches = (
+            self._configuration_watch,
+            self._watch(LEADER, self._list_leader, self._change_leader),
+        )
         self.intake = Intake(self, self.records)
         self._front = HttpServer(self, self.intake)
         self._ready = HttpServer(self, READY)
@@ -153,10 +161,8 @@
         self._ready.listen(self.settings.ready_address)
         self._front.listen(self.settings.clients_address)
         self.fleet.start()
-        self._watch(
-            CONFIGURATION_PREFIX, self._list_configuration, self._change_operator
-        )
-        self._watch(LEADER, self._list_leader, self._change_leader)
+        for watch in self.watches:
+            self._tasks.spawn(watch.run(), name=f"watch-{watch.prefix}")
         self._tasks.spawn(self.isolation.run(), name="isolation")
         self._tasks.spawn(self._lead_forever(), name="lead")
         self._tasks.spawn(self._watch_settings(), name="settings")
@@ -218,15 +224,26 @@
         prefix: str,
         on_listing: Callable[[Listing], None],
         on_change: Callable[[Change], None],
-    ) -> None:
-        watch = PrefixWatch(
+    ) -> PrefixWatch:
+        return PrefixWatch(
             store=self.store,
             prefix=prefix,
             on_listing=on_listing,
             on_change=on_change,
             rng=self.rng,
+            clock=self.clock,
+            timeline=self.timeline,
         )
-        self._tasks.spawn(watch.run(), name=f"watch-{prefix}")
+
+    def measure_confirmation_age(self) -> float | None:
+        """Return the seconds since the store told the newest configuration.
+
+        None if it never has.
+        """
+        answered_at = self._configuration_watch.answered_at
+        if answered_at is None:
+            return None
+        return self.clock.read_monotonic() - answered_at
 
     def _list_configuration(self, listing: Listing) -> None:
         for item in listing.items:
@@ -239,10 +256,16 @@
     def _take_operator_item(self, key: str, value: bytes) -> None:
         if key != CONFIGURATION_KEY:
             return
-        self.configuration.offer(value, source="store")
+        self.configuration.offer(value, source=STORE)
 
     def _note_configuration(self) -> None:
-        self.timeline.record(Event.QUEUES_ADOPTED, version=self.configuration.version)
+        self.timeline.record(
+            Event.QUEUES_ADOPTED,
+            version=self.configuration.version,
+            former=self.configuration.former_version,
+            source=self.configuration.source,
+            bytes=len(self.configuration.raw),
+        )
         self.fleet.advertise_configuration()
         if self.term is not None:
             self.term.adopt_configuration(self.configuration.current)
--- a/src/firladder/_internal/node/fleet.py
+++ b/src/firladder/_internal/node/fleet.py
@@ -19,6 +19,7 @@
 )
 from ..network.fabric import Fabric
 from ..utils.clocks import Clock
+from ..utils.events import Event, Timeline
 from ..utils.tasks import TaskSet
 from .configuration import ConfigurationStore
 
@@ -78,9 +79,11 @@
         configuration: ConfigurationStore,
         clock: Clock,
         rng: random.Random,
+        timeline: Timeline,
         reaches_store: Callable[[], bool],
     ) -> None:
         """Know ``seeds`` (IP numbers) to begin with."""
+        self._timeline = timeline
         self._reaches_store = reaches_store
         self._store_reached: dict[str, float] = {}
         self._ip = ip
@@ -249,6 +252,7 @@
         return Received()
 
     def _hear_version(self, ip: str, version: int) -> None:
+        self._configuration.hear(version)
         if version <= max(self._configuration.version, self._newest_heard):
             return
         self._newest_heard, self._newest_from = version, ip
@@ -262,6 +266,13 @@
             if self._newest_heard > self._configuration.version:
                 # The answer to a greeting brings what the asker lacks.
                 await self._greet(self._newest_from)
+            if self._newest_heard > self._configuration.version:
+                self._timeline.record(
+                    Event.CONFIGURATION_MISSED,
+                    peer=self._newest_from,
+                    heard=self._newest_heard,
+                    version=self._configuration.version,
+                )
         finally:
             self._catching_up = False
 
--- a/src/firladder/_internal/node/intake.py
+++ b/src/firladder/_internal/node/intake.py
@@ -99,14 +99,16 @@
             )
         queue = configuration.find_queue(call.headers.get("host", ""), call.path)
         if queue is None:
-            return reply_failure(NotFound(reason="no such queue", field="path"))
+            unknown = NotFound(reason="no such queue", field="path")
+            return self._refuse(call, unknown, status=404)
         organisation = Organisation("")
         if not queue.public:
             known = configuration.find_organisation(
                 call.headers.get("authorization", "")
             )
             if known is None:
-                return reply_failure(UnknownKey(reason="no organisation has this key"))
+                unknown_key = UnknownKey(reason="no organisation has this key")
+                return self._refuse(call, unknown_key, status=401)
             organisation = known
         job_id = call.path[len(queue.prefix) :]
         if not job_id and call.method == "GET":
@@ -123,6 +125,22 @@
             return await self._cancel(job_id, until)
         return await self._show(job_id)
 
+    def _refuse(self, call: HttpCall, failure: Failure, *, status: int) -> HttpReply:
+        configuration = self._node.configuration
+        confirmed_s = self._node.measure_confirmation_age()
+        self._node.timeline.record(
+            Event.CALL_NOT_ALLOWED,
+            request=call.headers.get("request-id", ""),
+            method=call.method,
+            path=call.path,
+            status=status,
+            configuration=configuration.version,
+            source=configuration.source,
+            heard=configuration.heard_version,
+            confirmed_s=None if confirmed_s is None else round(confirmed_s, 3),
+        )
+        return reply_failure(failure)
+
     async def _submit(
         self,
         call: HttpCall,
--- a/src/firladder/_internal/node/metrics.py
+++ b/src/firladder/_internal/node/metrics.py
@@ -31,6 +31,22 @@
         self.version = self._gauge(
             "firladder_queues_version", "Version of the configuration in force"
         )
+        self.heard = self._gauge(
+            "firladder_queues_heard_version",
+            "Newest version of the configuration that is known to exist",
+        )
+        self.confirmed = self._gauge(
+            "firladder_queues_confirmed_age_seconds",
+            "Time since the store last told the newest configuration",
+        )
+        self.received = self._gauge(
+            "firladder_queues_received_bytes_total",
+            "Bytes of configurations read, by source",
+        )
+        self.watch_failures = self._gauge(
+            "firladder_watch_failures_total",
+            "Watches of the store without a whole answer, by prefix",
+        )
         self.peers = self._gauge("firladder_nodes_known_count", "Other nodes known")
         self.leading = self._gauge(
             "firladder_leading_token", "Fencing token while this node leads, else 0"
@@ -66,6 +82,14 @@
         self.memory.set({}, usage.ru_maxrss * 1024)
         self.processor.set({}, usage.ru_utime + usage.ru_stime)
         self.version.set({}, node.configuration.version)
+        self.heard.set({}, node.configuration.heard_version)
+        confirmed_s = node.measure_confirmation_age()
+        if confirmed_s is not None:
+            self.confirmed.set({}, confirmed_s)
+        for source, size in node.configuration.received_bytes.items():
+            self.received.set({"source": source}, size)
+        for watch in node.watches:
+            self.watch_failures.set({"prefix": watch.prefix}, watch.failures_total)
         self.peers.set({}, len(node.fleet.list_peers()))
         self.store.set({}, node.store.calls)
         term = node.term
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -221,6 +221,8 @@
             on_listing=on_listing,
             on_change=on_change,
             rng=self._rng,
+            clock=self.clock,
+            timeline=self._timeline,
             start=start,
         )
         self._tasks.spawn(watch.run(), name=f"watch-{prefix}")
--- a/src/firladder/_internal/node/watching.py
+++ b/src/firladder/_internal/node/watching.py
@@ -7,6 +7,8 @@
 
 from ..exceptions import HistoryLost
 from ..platform.store import Change, Changes, Listing, PlatformStore
+from ..utils.clocks import Clock
+from ..utils.events import Event, Timeline
 
 logger = logging.getLogger(__name__)
 
@@ -31,12 +33,20 @@
         on_listing: Callable[[Listing], None],
         on_change: Callable[[Change], None],
         rng: random.Random,
+        clock: Clock,
+        timeline: Timeline,
         wait_s: float = WAIT_S,
         start: Listing | None = None,
     ) -> None:
         """Follow ``prefix``, going on from ``start`` if it was read already."""
+        self._clock = clock
+        self._timeline = timeline
+        self._failures = 0
+        self._broken_at = 0.0
+        self.failures_total = 0
+        self.answered_at: float | None = None
         self._store = store
-        self._prefix = prefix
+        self.prefix = prefix
         self._on_listing = on_listing
         self._on_change = on_change
         self._rng = rng
@@ -62,26 +72,53 @@
         # answered until something changes, and the node would go on for seconds
         # as one that the store turns away.
         found = await self._store.watch(
-            self._prefix,
+            self.prefix,
             after=self._revision,
             wait_s=0.0 if self._failed else self._wait_s,
         )
         if isinstance(found, HistoryLost):
             # What happened in between is lost: only a new listing shows it.
-            logger.info("history of %s is gone, listing again", self._prefix)
+            logger.info("history of %s is gone, listing again", self.prefix)
+            self._note_answer()
             self._revision = None
             return True
         if not isinstance(found, Changes):
+            self._note_failure(found.reason)
             return False
+        self._note_answer()
         self._revision = found.revision
         for change in found.changes:
             self._on_change(change)
         return True
 
     async def _list(self) -> bool:
-        listing = await self._store.read_range(self._prefix)
+        listing = await self._store.read_range(self.prefix)
         if not isinstance(listing, Listing):
+            self._note_failure(listing.reason)
             return False
+        self._note_answer()
         self._revision = listing.revision
         self._on_listing(listing)
         return True
+
+    def _note_failure(self, reason: str) -> None:
+        self.failures_total += 1
+        self._failures += 1
+        if self._failures > 1:
+            return
+        self._broken_at = self._clock.read_monotonic()
+        self._timeline.record(
+            Event.WATCH_BROKEN, prefix=self.prefix, after=self._revision, reason=reason
+        )
+
+    def _note_answer(self) -> None:
+        self.answered_at = self._clock.read_monotonic()
+        if not self._failures:
+            return
+        self._timeline.record(
+            Event.WATCH_RESUMED,
+            prefix=self.prefix,
+            tries=self._failures,
+            broken_s=round(self.answered_at - self._broken_at, 3),
+        )
+        self._failures = 0
