Show that a large configuration is not adopted behind a small link

Callers saw 404 for a route that had been confirmed more than the bound before.

The stand-ins get a link with a rate, and a larger body for the store.

--- /dev/null
+++ b/features/steps/configuration_links_steps.py
@@ -0,0 +1,273 @@
+import asyncio
+import json
+import random
+import string
+import time
+
+import msgspec
+from behave import given, then, when
+
+from features.environment import start_platform
+from features.steps.node_configuration_steps import (
+    DOMAINS,
+    ENVELOPE_BYTES,
+    Exchange,
+    ExchangeFabric,
+    LoopClock,
+    play,
+)
+from firladder._internal.exceptions import PeerUnreachable
+from firladder._internal.node.configuration import ConfigurationStore
+from firladder._internal.node.fleet import GREET_S, Fleet
+from firladder._internal.utils.clocks import LogicalClock
+from firladder._internal.utils.events import Event, Timeline
+from standins.proxy import Mode, Proxy
+from standins.site import wait_for
+
+LARGE_LINK_MBPS = 100.0
+LARGE_LINK_SHARE = 6
+BASE64_SHARE = 4 / 3
+
+
+def name_at_random(rng):
+    return "".join(rng.choices(string.ascii_lowercase + string.digits, k=7))
+
+
+def make_routes(count, rng):
+    return [
+        {
+            "name": f"r-{name_at_random(rng)}",
+            "hostname": "jobs.example",
+            "prefix": f"/{name_at_random(rng)}/",
+            "type": "non_idempotent",
+            "timeout_ms": 3011,
+            "slo_ms": 1003,
+            "priority": 1,
+            "backend": "pool-a",
+            "max_attempts": 4,
+            "stretch": 3.0,
+            "public": False,
+        }
+        for _ in range(count)
+    ]
+
+
+# -- one node as a process, behind a link of its own ---------------------------
+
+
+@given("a node whose link to the store carries {mbps:d} Mbit/s")
+def start_behind_link(context, mbps):
+    context.proxy = Proxy()
+    context.add_cleanup(context.proxy.close)
+    start_platform(context, nodes=1, workers=1, proxy=context.proxy)
+    context.proxy.limit("store-0", mbps=mbps)
+    context.rng = random.Random(5)
+
+
+@given("the store has not answered it for {seconds:d} s")
+def silence(context, seconds):
+    context.proxy.set_mode("store-0", Mode.SILENT)
+    time.sleep(seconds)
+
+
+@given("the store turns it away")
+def turn_away(context):
+    context.platform.set_store_faults(turned_away=list(context.platform.ips))
+    time.sleep(1.0)
+
+
+@when("{count:d} routes are added")
+def add_routes(context, count):
+    site = context.platform
+    site.configuration["routes"] += make_routes(count, context.rng)
+    add_version(context)
+
+
+def add_version(context):
+    site = context.platform
+    site.configuration["version"] += 1
+    site.configuration["routes"] += make_routes(1, context.rng)
+    site.configure()
+
+
+@when("{count:d} routes are added and the store answers again")
+def add_and_answer(context, count):
+    add_routes(context, count)
+    context.proxy.reset("store-0")
+    context.proxy.set_mode("store-0", Mode.PASS)
+
+
+@when("{count:d} routes are added and {versions:d} versions follow")
+def add_many(context, count, versions):
+    add_routes(context, count)
+    for _ in range(versions):
+        add_version(context)
+
+
+@when("the store takes it back")
+def take_back(context):
+    context.platform.set_store_faults()
+
+
+@then("the node serves the newest route within {seconds:d} s")
+def check_newest_route(context, seconds):
+    prefix = context.platform.configuration["routes"][-1]["prefix"]
+    wait_for(
+        lambda: context.platform.ask("GET", f"{prefix}00000000000000aa")[0] != 404,
+        seconds,
+        "the newest route",
+    )
+
+
+@then("it has not counted the store as lost")
+def check_not_lost(context):
+    log = context.platform.nodes[0].log.read_text()
+    assert Event.STORE_LOST.message not in log
+
+
+# -- a fleet without a network ----------------------------------------------------
+
+
+class LinkedExchange(Exchange):
+    """Carries messages over links that hold one message at a time."""
+
+    def __init__(self, mbps):
+        super().__init__()
+        self.mbps = mbps
+        self.free_at = {}
+        self.held_s = {}
+
+    def join(self, ip):
+        super().join(ip)
+        self.free_at[ip] = 0.0
+        self.held_s[ip] = 0.0
+        return LinkedFabric(self, ip)
+
+    async def carry(self, ip, size):
+        now = asyncio.get_running_loop().time()
+        takes_s = size * 8 / (self.mbps[ip] * 1e6)
+        self.held_s[ip] += takes_s
+        self.free_at[ip] = max(now, self.free_at[ip]) + takes_s
+        await asyncio.sleep(self.free_at[ip] - now)
+
+
+class LinkedFabric(ExchangeFabric):
+    async def ask(self, address, body, *, timeout_s):
+        ip = address.split(":")[0]
+        # Given up by its asker, a reply comes over the link all the same.
+        carried = asyncio.ensure_future(self._carry(ip, body))
+        self.exchange.open.add(carried)
+        carried.add_done_callback(self.exchange.open.discard)
+        try:
+            return await asyncio.wait_for(asyncio.shield(carried), timeout_s)
+        except TimeoutError:
+            return PeerUnreachable(reason="no reply in time")
+
+    async def _carry(self, ip, body):
+        exchange = self.exchange
+        size = len(msgspec.msgpack.encode(body)) + ENVELOPE_BYTES
+        for end in (self.ip, ip):
+            await exchange.carry(end, size)
+        reply = await exchange.handlers[ip][type(body)](body)
+        size = len(msgspec.msgpack.encode(reply)) + ENVELOPE_BYTES
+        for end in (ip, self.ip):
+            await exchange.carry(end, size)
+        return reply
+
+
+@given(
+    "a fleet of {count:d} nodes with links of {mbps:d} Mbit/s "
+    "of which the store turns a third away"
+)
+def build_linked_fleet(context, count, mbps):
+    rng = random.Random(17)
+    ips = [f"10.{n % DOMAINS}.{n // 250}.{n % 250}" for n in range(count)]
+    large = set(ips[::LARGE_LINK_SHARE])
+    rates = {ip: LARGE_LINK_MBPS if ip in large else float(mbps) for ip in ips}
+    context.exchange = LinkedExchange(rates)
+    context.exchange.open = set()
+    context.clock = LoopClock()
+    context.turned_away = set(rng.sample(ips, count // 3))
+    context.rng = rng
+    context.nodes = {}
+    for number, ip in enumerate(ips):
+        configuration = ConfigurationStore()
+        configuration.offer(b'{"version": 1}', source="test")
+        fleet = Fleet(
+            ip=ip,
+            failure_domain=f"domain-{number % DOMAINS}",
+            port=1,
+            seeds=tuple(rng.sample(ips, min(count, 60))),
+            fabric=context.exchange.join(ip),
+            configuration=configuration,
+            clock=context.clock,
+            rng=random.Random(number),
+            timeline=Timeline(
+                process=ip, clock=context.clock, logical=LogicalClock(), capacity=64
+            ),
+            reaches_store=lambda ip=ip: ip not in context.turned_away,
+        )
+        configuration.listeners.append(fleet.advertise_configuration)
+        context.nodes[ip] = (fleet, configuration)
+
+
+@when("{versions:d} versions of {routes:d} routes come {gap:f} s apart")
+def change_often(context, versions, routes, gap):
+    context.late = []
+    stored = make_routes(routes, context.rng)
+
+    async def follow_store(ip, value):
+        """Bring a version by the node's own watch, as the store encodes it."""
+        await context.exchange.carry(ip, len(value) * BASE64_SHARE)
+        context.nodes[ip][1].offer(value, source="store")
+
+    async def greet_forever():
+        while True:
+            for fleet, _configuration in context.nodes.values():
+                fleet.greet_some()
+            await asyncio.sleep(GREET_S)
+
+    async def check_later(version):
+        await asyncio.sleep(context.bound_s)
+        context.late += [
+            (version, ip) for ip, (_, c) in context.nodes.items() if c.version < version
+        ]
+
+    async def change():
+        greeting = asyncio.ensure_future(greet_forever())
+        checks = []
+        for version in range(2, versions + 2):
+            context.exchange.held_s = dict.fromkeys(context.nodes, 0.0)
+            value = json.dumps({"version": version, "routes": stored}).encode()
+            for ip in set(context.nodes) - context.turned_away:
+                context.exchange.open.add(
+                    asyncio.ensure_future(follow_store(ip, value))
+                )
+            checks.append(asyncio.ensure_future(check_later(version)))
+            await asyncio.sleep(gap)
+        await asyncio.gather(*checks)
+        greeting.cancel()
+        for fleet, _ in context.nodes.values():
+            await fleet.close()
+        for task in context.exchange.open:
+            task.cancel()
+
+    context.bound_s = 3.0
+    play(change())
+
+
+@then("every node had every version, or a newer one, within {seconds:d} s")
+def check_in_time(context, seconds):
+    assert context.bound_s == seconds
+    assert not context.late, (len(context.late), context.late[:5])
+
+
+@then("no node's link was held for more than {seconds:f} s by one version")
+def check_held(context, seconds):
+    small = {
+        ip: s
+        for ip, s in context.exchange.held_s.items()
+        if context.exchange.mbps[ip] < LARGE_LINK_MBPS
+    }
+    most = max(small.values())
+    assert most <= seconds, most
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -17,6 +17,9 @@
 from .platform_workers import BEAT_S, Ledger, Worker
 from .process import run_standin
 
+STORED_BYTES = 2 * 1024 * 1024
+"""Bytes of a call to the store: a value of a megabyte in base64, and its frame."""
+
 TASKS: set["asyncio.Task[Any]"] = set()
 
 
@@ -61,7 +64,8 @@
 async def serve(options: argparse.Namespace) -> None:
     """Start the store and the workers."""
     store, ledger = MemoryStore(options.seed), Ledger()
-    HttpServer(PlatformApp(store, ledger), routes).listen(options.store)
+    app = PlatformApp(store, ledger)
+    HttpServer(app, routes, max_body=STORED_BYTES).listen(options.store)
     loops = [store.expire()]
     for number, pair in enumerate(options.workers.split(",")):
         address, _, advertised = pair.partition(">")
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -36,6 +36,8 @@
         self.forward = forward
         self.mode = Mode.PASS
         self.delay_s = 0.0
+        self.rate_bytes_s: float | None = None
+        self._free_at = 0.0
         self.writers: set[asyncio.StreamWriter] = set()
         self.hushed: set[int] = set()
 
@@ -76,6 +78,8 @@
                     await asyncio.sleep(POLL_S)
                 if connection in self.hushed:
                     continue
+                if answers and self.rate_bytes_s is not None:
+                    await self._await_turn(len(data), self.rate_bytes_s)
                 writer.write(data)
                 await writer.drain()
         except OSError:
@@ -83,6 +87,12 @@
         finally:
             writer.close()
 
+    async def _await_turn(self, size: int, rate_bytes_s: float) -> None:
+        """Wait until bytes have come through; all connections share the link."""
+        now = asyncio.get_running_loop().time()
+        self._free_at = max(now, self._free_at) + size / rate_bytes_s
+        await asyncio.sleep(self._free_at - now)
+
     def hush(self) -> None:
         """Let the open connections fall silent for good."""
         self.hushed.update(id(writer) for writer in self.writers)
@@ -127,6 +137,10 @@
 
         self._loop.call_soon_threadsafe(change)
 
+    def limit(self, name: str, *, mbps: float) -> None:
+        """Let answers through at a rate, in Mbit/s."""
+        self.links[name].rate_bytes_s = mbps * 1e6 / 8
+
     def reset(self, name: str) -> None:
         """Abort the open connections of a link."""
         self._loop.call_soon_threadsafe(self.links[name].reset)
