Close the connection of an answer that is given up while it is read

A body that took longer than its limit was given up, but its connection stayed open: wait_for cancels the future that it waits for, and a cancelled future counts as done, so that the abort was left out. The rest went on arriving over the VM's link, beside the next try of the same call. Found in the search for the cause of late configurations; it makes each cut-off answer cost its whole size.

--- /dev/null
+++ b/features/steps/network_answers_steps.py
@@ -0,0 +1,77 @@
+import asyncio
+import time
+
+from behave import given, then, when
+
+from firladder._internal.exceptions import SentUnanswered
+from firladder._internal.network.http_client import HttpAnswer, HttpClient
+
+PART = b"x" * 1000
+
+
+def play(context, work):
+    """Run a coroutine on the event loop that twisted's reactor shares."""
+    from twisted.internet import reactor
+
+    if not reactor.running:
+        reactor.startRunning(installSignalHandlers=False)
+    return asyncio.get_event_loop().run_until_complete(work)
+
+
+class PartServer:
+    """Answers each call with parts, some time apart."""
+
+    def __init__(self, parts, takes_s):
+        self.parts = parts
+        self.gap_s = takes_s / parts
+        self.closed = asyncio.Event()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        length = self.parts * len(PART)
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n".encode())
+        sending = asyncio.ensure_future(self.send(writer))
+        await reader.read()
+        sending.cancel()
+        self.closed.set()
+        writer.close()
+
+    async def send(self, writer):
+        for _ in range(self.parts):
+            await asyncio.sleep(self.gap_s)
+            writer.write(PART)
+
+
+@given("a server whose answer of {parts:d} parts takes {takes:d} s")
+def start_server(context, parts, takes):
+    context.server = PartServer(parts, takes)
+    play(context, context.server.start())
+
+
+@when("it is called with {limit:f} s for the answer")
+def call_server(context, limit):
+    context.http = HttpClient()
+    call_with(context, timeout_s=limit)
+
+
+def call_with(context, **limits):
+    url = f"http://127.0.0.1:{context.server.port}/"
+    began = time.monotonic()
+    context.result = play(context, context.http.call("GET", url, **limits))
+    context.spent_s = time.monotonic() - began
+
+
+@then('the call ends "{kind}" within {seconds:f} s')
+def check_kind(context, kind, seconds):
+    kinds = {"sent_unanswered": SentUnanswered, "answered": HttpAnswer}
+    assert isinstance(context.result, kinds[kind]), context.result
+    assert context.spent_s <= seconds, context.spent_s
+
+
+@then("the server's connection is closed within {seconds:f} s")
+def check_closed(context, seconds):
+    play(context, asyncio.wait_for(context.server.closed.wait(), seconds))
--- a/src/firladder/_internal/network/http_client.py
+++ b/src/firladder/_internal/network/http_client.py
@@ -77,6 +77,15 @@
         loop = asyncio.get_running_loop()
         self.done: asyncio.Future[str | None] = loop.create_future()
 
+    async def wait(self, limit_s: float) -> bool:
+        """Wait for the end; tell whether it came.
+
+        ``done`` is not cancelled: it would count as ended, and the connection would
+        go on carrying what nobody waits for.
+        """
+        await asyncio.wait({self.done}, timeout=limit_s)
+        return self.done.done()
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self._on_chunk(data)
 
@@ -164,10 +173,13 @@
         reader = _BodyReader(keep)
         response.deliverBody(reader)
         try:
-            broken = await asyncio.wait_for(reader.done, remaining_s)
-        except TimeoutError:
+            ended = await reader.wait(remaining_s)
+        finally:
+            # Also when the caller is cancelled: nobody waits for the rest.
             _abort(reader)
+        if not ended:
             return SentUnanswered(reason="timed out while reading the answer")
+        broken = reader.done.result()
         if broken is not None:
             return SentUnanswered(reason=broken)
         if size > MAX_RESPONSE:
