Count the store as reachable while one of its answers is arriving

A call that runs out of time now says that the store is away only if no part of any answer came meanwhile. Refusals (429, 503) count as before.

--- a/features/network_answers.feature
+++ b/features/network_answers.feature
@@ -26,3 +26,11 @@
     When it is called for at most 10000 bytes
     Then the call ends "too_large" within 0.3 s
     And the server's connection is closed within 0.5 s
+
+  Scenario: A small answer that waits behind a large one does not say that the store is away
+    Guards against a full link that counts as an outage: the node would refuse its callers.
+    Given a store whose listing takes 2 s to arrive and that does not answer else
+    When an item is read with 0.4 s for it while the listing arrives
+    Then the store still counts as reachable
+    When an item is read with 0.4 s for it after the listing
+    Then the store counts as unreachable
--- a/features/steps/network_answers_steps.py
+++ b/features/steps/network_answers_steps.py
@@ -3,8 +3,14 @@
 
 from behave import given, then, when
 
-from firladder._internal.exceptions import AnswerTooLarge, SentUnanswered
+from firladder._internal.exceptions import (
+    AnswerTooLarge,
+    SentUnanswered,
+    StoreUncertain,
+)
 from firladder._internal.network.http_client import HttpAnswer, HttpClient
+from firladder._internal.platform.store import PlatformStore
+from firladder._internal.utils.clocks import SystemClock
 
 PART = b"x" * 1000
 
@@ -21,7 +27,8 @@
 class PartServer:
     """Answers each call with parts, some time apart."""
 
-    def __init__(self, parts, takes_s):
+    def __init__(self, parts, takes_s, silent_path=b" none "):
+        self.silent_path = silent_path
         self.parts = parts
         self.gap_s = takes_s / parts
         self.closed = asyncio.Event()
@@ -31,7 +38,10 @@
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def serve(self, reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
+        request = await reader.readuntil(b"\r\n\r\n")
+        if self.silent_path in request:
+            await reader.read()
+            return
         length = self.parts * len(PART)
         writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n".encode())
         sending = asyncio.ensure_future(self.send(writer))
@@ -94,3 +104,45 @@
 def call_server_for_little(context, most):
     context.http = HttpClient()
     call_with(context, timeout_s=2.0, most_bytes=most)
+
+
+@given(
+    "a store whose listing takes {takes:d} s to arrive and that does not answer else"
+)
+def start_store(context, takes):
+    context.server = PartServer(20, takes, silent_path=b"/-/kv-key")
+    play(context, context.server.start())
+    context.store = PlatformStore(
+        address=f"127.0.0.1:{context.server.port}",
+        http=HttpClient(),
+        clock=SystemClock(),
+    )
+
+
+@when("an item is read with {limit:f} s for it while the listing arrives")
+def read_beside_listing(context, limit):
+    async def read():
+        listing = asyncio.ensure_future(context.store.read_range("op/"))
+        await asyncio.sleep(0.3)
+        context.result = await context.store.read_item("a", timeout_s=limit)
+        context.reachable = context.store.reachable
+        await listing
+
+    play(context, read())
+    assert isinstance(context.result, StoreUncertain), context.result
+
+
+@when("an item is read with {limit:f} s for it after the listing")
+def read_alone(context, limit):
+    play(context, context.store.read_item("a", timeout_s=limit))
+    context.reachable = context.store.reachable
+
+
+@then("the store still counts as reachable")
+def check_reachable(context):
+    assert context.reachable
+
+
+@then("the store counts as unreachable")
+def check_unreachable(context):
+    assert not context.reachable
--- a/src/firladder/_internal/network/http_client.py
+++ b/src/firladder/_internal/network/http_client.py
@@ -120,8 +120,9 @@
 class _BodyCollector(_BodyReader):
     """Collect a body of at most so many bytes."""
 
-    def __init__(self, most_bytes: int) -> None:
+    def __init__(self, most_bytes: int, on_part: Callable[[], None]) -> None:
         super().__init__(self._keep)
+        self._on_part = on_part
         self._most_bytes = most_bytes
         self._size = 0
         self._chunks: list[bytes] = []
@@ -132,6 +133,7 @@
         return b"".join(self._chunks)
 
     def _keep(self, chunk: bytes) -> None:
+        self._on_part()
         self._size += len(chunk)
         if self._size > self._most_bytes:
             self.give_up()
@@ -187,6 +189,8 @@
         # connection; whether that is safe is for the caller to decide.
         pool.retryAutomatically = False
         self._pool = pool
+        self.parts_received = 0
+        """Parts of answers that have come so far; a sign that the other side lives."""
         self._agent = Agent.usingEndpointFactory(
             reactor, _EndpointFactory(source_ip), pool=pool
         )
@@ -214,7 +218,8 @@
         if isinstance(opened, NotSent | SentUnanswered):
             return opened
         response, remaining_s = opened
-        reader = _BodyCollector(most_bytes)
+        self._count_part()
+        reader = _BodyCollector(most_bytes, self._count_part)
         response.deliverBody(reader)
         if response.length is not UNKNOWN_LENGTH and response.length > most_bytes:
             reader.give_up()
@@ -233,6 +238,9 @@
             return SentUnanswered(reason=broken)
         return HttpAnswer(response.code, _flatten(response.headers), reader.body)
 
+    def _count_part(self) -> None:
+        self.parts_received += 1
+
     async def stream(
         self, method: str, url: str, *, body: bytes = b"", timeout_s: float
     ) -> AsyncIterator[bytes]:
--- a/src/firladder/_internal/platform/store.py
+++ b/src/firladder/_internal/platform/store.py
@@ -345,6 +345,7 @@
         url = f"http://{self.address}{path}"
         if query:
             url += "?" + urlencode(query)
+        parts_before = self._http.parts_received
         answer = await self._http.call(
             method,
             url,
@@ -355,26 +356,28 @@
         )
         if isinstance(answer, AnswerTooLarge):
             return answer
-        if isinstance(answer, NotSent):
-            return self._note_lost(StoreUnavailable(reason=answer.reason))
-        if isinstance(answer, SentUnanswered):
-            return self._note_lost(StoreUncertain(reason=answer.reason))
+        if isinstance(answer, NotSent | SentUnanswered):
+            # What waits behind a large answer on a small link may run out of time.
+            # While that answer arrives, the store is not away.
+            if self._http.parts_received == parts_before:
+                self._note_lost(answer.reason)
+            kind = StoreUnavailable if isinstance(answer, NotSent) else StoreUncertain
+            return kind(reason=answer.reason)
         if answer.status in (429, 503):
             # The store says that it did nothing.
-            return self._note_lost(
-                StoreUnavailable(reason=f"turned away: {answer.status}")
-            )
+            turned_away = StoreUnavailable(reason=f"turned away: {answer.status}")
+            self._note_lost(turned_away.reason)
+            return turned_away
         if not self.reachable:
             self.reachable = True
             self.on_state(True, "")
         return answer
 
-    def _note_lost(self, failure: T) -> T:
+    def _note_lost(self, reason: str) -> None:
         if self.reachable:
             self.reachable = False
             self._lost_at = self._clock.read_monotonic()
-            self.on_state(False, getattr(failure, "reason", ""))
-        return failure
+            self.on_state(False, reason)
 
     def _decode(
         self, answer: HttpAnswer, type_: type[T], *, status: int = 200
