Drop idle connections to the store after a call that nothing answered

Connections may fall silent for good without a reset. Each call then took the next idle one and lost its whole time on it: with eight of them eight calls in a row, five seconds for a watch of the configuration. The scenario lost 8 reads before and loses 1 now.

--- a/features/network_answers.feature
+++ b/features/network_answers.feature
@@ -34,3 +34,9 @@
     Then the store still counts as reachable
     When an item is read with 0.4 s for it after the listing
     Then the store counts as unreachable
+
+  Scenario: Connections that have fallen silent are not tried one after the other
+    Guards against calls that each run out of time on the next idle connection.
+    Given a store with 8 idle connections that have all fallen silent
+    When items are read with 0.2 s for each until one is answered
+    Then at most 1 read was lost
--- a/features/steps/network_answers_steps.py
+++ b/features/steps/network_answers_steps.py
@@ -146,3 +146,63 @@
 @then("the store counts as unreachable")
 def check_unreachable(context):
     assert not context.reachable
+
+
+class SilencedServer:
+    """Answers that nothing is stored, until its open connections are silenced."""
+
+    def __init__(self):
+        self.connections = 0
+        self.silenced = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        number = self.connections
+        while True:
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                writer.close()
+                return
+            await asyncio.sleep(0.05)
+            if number not in self.silenced:
+                writer.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+
+
+@given("a store with {count:d} idle connections that have all fallen silent")
+def silence_connections(context, count):
+    context.server = SilencedServer()
+    play(context, context.server.start())
+    context.store = PlatformStore(
+        address=f"127.0.0.1:{context.server.port}",
+        http=HttpClient(per_host=16),
+        clock=SystemClock(),
+    )
+
+    async def open_all():
+        await asyncio.gather(*(context.store.read_item("a") for _ in range(count)))
+
+    play(context, open_all())
+    assert context.server.connections == count
+    context.server.silenced = set(range(1, count + 1))
+
+
+@when("items are read with {limit:f} s for each until one is answered")
+def read_until_answered(context, limit):
+    async def read():
+        context.lost = 0
+        while isinstance(
+            await context.store.read_item("a", timeout_s=limit), StoreUncertain
+        ):
+            context.lost += 1
+
+    play(context, read())
+
+
+@then("at most {most:d} read was lost")
+def check_lost(context, most):
+    assert context.lost <= most, context.lost
--- a/src/firladder/_internal/network/http_client.py
+++ b/src/firladder/_internal/network/http_client.py
@@ -290,6 +290,10 @@
             return SentUnanswered(reason=f"no answer: {_describe(error)}")
         return response, max(0.001, deadline - loop.time())
 
+    def drop_idle(self) -> None:
+        """Abort the idle connections; the next calls open new ones."""
+        self._pool.closeCachedConnections()
+
     async def close(self) -> None:
         """Close the idle connections."""
         deferred = self._pool.closeCachedConnections()
--- a/src/firladder/_internal/platform/store.py
+++ b/src/firladder/_internal/platform/store.py
@@ -361,6 +361,9 @@
             # While that answer arrives, the store is not away.
             if self._http.parts_received == parts_before:
                 self._note_lost(answer.reason)
+                # Connections may have fallen silent for good. Tried one after the
+                # other, each idle one would cost a call its whole time.
+                self._http.drop_idle()
             kind = StoreUnavailable if isinstance(answer, NotSent) else StoreUncertain
             return kind(reason=answer.reason)
         if answer.status in (429, 503):
