Give workers of an evacuated failure domain nothing new

The leader reads the requests before it plans anything and follows them by a watch of its own, whose answers are small: they do not wait behind a large configuration. Its workers there are no candidates, for tasks, gangs, room made for urgent work, or claims; what is planned there and not known to be at work is withdrawn, as a start held up on a full link would leave after the bound; what is at work goes on, as the request asks only for nothing new. Work whose data is there goes elsewhere at once.

Ways weighed: letting peers pass the requests on (a leader that the store turns away can store no plan, so it starts nothing); stopping or moving what runs (thrown away for nothing). A successor is tried on real processes in platform_path.

Not built: the order in the product's own interface, a command that lists evacuations, doubted speeds of a domain that comes back, a model.

--- /dev/null
+++ b/features/engine_domains.feature
@@ -0,0 +1,62 @@
+Feature: A failure domain that the operators evacuate gets no new work
+
+  Background:
+    Given 2 failure domains, each with 2 racks of 2 workers
+
+  Scenario Outline: Work begins elsewhere
+    Guards against work that is placed in a domain whose evacuation was requested.
+    Given domain "a" is evacuated
+    When the core is given "<work>"
+    Then it begins on workers of domain "b"
+
+    Examples:
+      | work                                |
+      | a task                              |
+      | an urgent task                      |
+      | a gang of 4 tasks                   |
+      | a gang of 2 tasks in one rack       |
+      | a task whose data is there          |
+
+  Scenario: Work that is not known to be at work there is withdrawn
+    Guards against starts that leave, or are repeated, after the evacuation.
+    Given a gang of 8 tasks is planned over both domains
+    When domain "a" is evacuated
+    Then no start of the gang is sent
+    And the gang waits
+
+  Scenario: Work that is at work there goes on
+    Guards against work thrown away for a request that asks only for nothing new.
+    Given a gang of 8 tasks is at work over both domains
+    When domain "a" is evacuated
+    Then the gang is at work
+
+  Scenario: Urgent work makes no room there
+    Guards against stopping work whose room may not be used.
+    Given a gang of 8 tasks is at work over both domains
+    And domain "a" is evacuated
+    When the core is given "an urgent gang of 2 tasks"
+    And the workers' stops have ended
+    Then it begins on workers of domain "b"
+
+  Scenario: Work waits while every domain is evacuated, and begins when one is taken back
+    Guards against work that is lost or refused for want of any open domain.
+    Given domain "a" is evacuated
+    And domain "b" is evacuated
+    When the core is given "a task"
+    Then it waits
+    When domain "b" is taken back
+    Then it begins on workers of domain "b"
+
+  Scenario: Room kept in a domain is given up when it is evacuated
+    Guards against urgent work that waits for room made where it may not begin.
+    Given a gang of 8 tasks is at work over both domains
+    And an urgent gang of 2 tasks has room made in domain "a"
+    When domain "a" is evacuated
+    And the workers' stops have ended
+    Then it begins on workers of domain "b"
+
+  Scenario: A domain that nobody knows changes nothing
+    Guards against a request for another site's domain that stops this one.
+    Given domain "elsewhere" is evacuated
+    When the core is given "a gang of 8 tasks"
+    Then it begins on workers of both domains
--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -92,6 +92,15 @@
     Then both jobs are shown as "completed" within 20 s
     And nothing has run twice
 
+  Scenario: An evacuation outlives the leader that read it
+    Guards against a successor that starts work where the operators asked for none.
+    Given the operators evacuate the workers' failure domain
+    When a client submits a job of 1 task of 0.3 s
+    And the leader is killed
+    Then nothing of it has started 4 s later
+    When the operators take the failure domain back
+    Then the job is shown as "completed" by a live node within 15 s
+
   Scenario: A leader with a slow way to the store reads all records in the end
     The only node left has a slow link, and the records are large. Each page took
     longer than an answer was awaited for: the node kept the leadership, read the
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -364,6 +364,32 @@
     wait_for(lambda: read_state(context, context.job, 0) == state, seconds, state)
 
 
+@given("the operators evacuate the workers' failure domain")
+def evacuate_domain(context):
+    context.platform.put("op/evacuate/d", {})
+    context.add_cleanup(context.platform.remove, "op/evacuate/d")
+    # Work that began a moment before the request may go on.
+    time.sleep(1.0)
+
+
+@when("the operators take the failure domain back")
+def take_domain_back(context):
+    context.platform.remove("op/evacuate/d")
+
+
+@then("nothing of it has started {seconds:d} s later")
+def check_not_started(context, seconds):
+    time.sleep(seconds)
+    starts = context.platform.read_ledger()["starts"]
+    assert not [s for s in starts if s[0].startswith(context.job)], starts
+
+
+@then('the job is shown as "{state}" by a live node within {seconds:d} s')
+def check_live_state(context, state, seconds):
+    node = live_nodes(context)[0]
+    wait_for(lambda: read_state(context, context.job, node) == state, seconds, state)
+
+
 @when("the leader is killed")
 def kill_leader(context):
     site = context.platform
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -76,6 +76,7 @@
         self._claims = Claims()
         self._queues: dict[str, Queue] = {}
         self._idle_pools: set[str] = set()
+        self._closed_racks: set[str] = set()
         self._shortages = Shortages()
         self._widest: dict[tuple[str, Resources], int] = {}
         self.next_due_s: float | None = None
@@ -90,7 +91,11 @@
         self._widest.clear()
         free = {w.worker_id: w.free for w in core.workers.values()}
         candidates = self._list_candidates(free, now)
-        self._idle_pools = find_idle_pools(core.workers.values(), free)
+        open_workers = [w for w in core.workers.values() if not core.is_evacuated(w)]
+        self._idle_pools = find_idle_pools(open_workers, free)
+        self._closed_racks = {
+            w.rack for w in core.workers.values() if w.rack and core.is_evacuated(w)
+        }
         waiting = sorted(
             self._list_waiting(now, wall), key=lambda unit: self._rank(unit, wall)
         )
@@ -161,6 +166,7 @@
             and worker.listed
             and worker.may_be_granted
             and not worker.entry.draining
+            and not self._core.is_evacuated(worker)
             and now >= worker.full_until
         )
 
@@ -292,6 +298,9 @@
         return found
 
     def _may_spread(self, unit: Unit, now: float) -> bool:
+        if unit.step.rack in self._closed_racks:
+            # Nothing begins there until the operators take the domain back.
+            return True
         if self._stands_idle(unit, now, longer_than=FAR_AFTER_S):
             return True
         waited = now - unit.ready_at
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -60,6 +60,7 @@
         self.runtimes: dict[tuple[str, int], float] = {}
         self.speeds = Speeds()
         self.early_cancels: set[str] = set()
+        self.evacuated: frozenset[str] = frozenset()
         self._planned: list[Placement] = []
 
     def lose_worker(self, worker_id: str, reason: str) -> None:
@@ -119,6 +120,29 @@
         """End a unit's run so that its room becomes free; it will run again."""
         self._give_up_run(unit)
 
+    def evacuate_domains(self, domains: frozenset[str]) -> None:
+        """Take the failure domains whose workers get nothing new from now on.
+
+        What is planned there and not known to be at work is withdrawn: held up, its
+        start would leave long after the operators were told that nothing more comes.
+        What is at work goes on to its end.
+        """
+        added, self.evacuated = domains - self.evacuated, domains
+        withdrawn = [
+            placement.unit
+            for worker in self.workers.values()
+            if worker.entry.failure_domain in added
+            for placement in worker.placements.values()
+            if placement.phase in (Phase.PLANNED, Phase.SENT)
+        ]
+        for unit in withdrawn:
+            if unit is not None:
+                self.evict(unit)
+
+    def is_evacuated(self, worker: Worker) -> bool:
+        """Tell whether a worker gets nothing new because of its failure domain."""
+        return worker.entry.failure_domain in self.evacuated
+
     def take_starts(self) -> list[Placement]:
         """Return the starts that are durable and not sent yet."""
         starts, self.starts = self.starts, []
--- a/src/firladder/_internal/node/metrics.py
+++ b/src/firladder/_internal/node/metrics.py
@@ -58,6 +58,10 @@
             "firladder_workers_known_count",
             "Workers at the leader, by whether they can be reached",
         )
+        self.evacuated = self._gauge(
+            "firladder_evacuated_domain_tasks_count",
+            "Tasks at workers of a failure domain that gets no new work, by domain",
+        )
         self.store = self._gauge(
             "firladder_store_made_calls_total", "Calls made to the platform's store"
         )
@@ -99,6 +103,13 @@
         open_jobs = [j for j in term.core.jobs.values() if not j.terminal]
         self.jobs.set({}, len(open_jobs))
         self.looks.set({}, term.calls.calls)
+        for domain in term.core.evacuated:
+            count = sum(
+                len(w.placements)
+                for w in term.core.workers.values()
+                if w.entry.failure_domain == domain
+            )
+            self.evacuated.set({"failure_domain": domain}, count)
         for reachable in (True, False):
             found = [w for w in term.core.workers.values() if w.reachable is reachable]
             self.workers.set({"reachable": str(reachable).lower()}, len(found))
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -17,6 +17,7 @@
 from ..exceptions import Failure, MalformedBody, NotLeader
 from ..models.workload import QueueConfiguration
 from ..platform.discovery import WORKER_PREFIX, decode_worker
+from ..platform.evacuation import EVACUATION_PREFIX, decode_evacuated_domain
 from ..platform.settings import NodeSettings
 from ..platform.store import Change, Listing, PlatformStore
 from ..platform.workers import WorkerCalls
@@ -171,9 +172,13 @@
         intake = await self._read(INTAKE)
         progress = await self._read(PROGRESS)
         workers = await self._read(WORKER_PREFIX)
+        evacuations = await self._read(EVACUATION_PREFIX)
         if intake is None or progress is None or workers is None:
             return False
+        if evacuations is None:
+            return False
         self._take_workers(workers)
+        self._list_evacuations(evacuations)
         recorded: dict[str, JobProgress] = {}
         for item in progress.items:
             job_id = item.key.removeprefix(PROGRESS)
@@ -198,6 +203,13 @@
         )
         self._follow(INTAKE, intake, self._relist_intake, self._change_intake)
         self._follow(WORKER_PREFIX, workers, self._take_workers, self._change_worker)
+        self._follow(
+            EVACUATION_PREFIX,
+            evacuations,
+            self._list_evacuations,
+            self._change_evacuation,
+            newest_only=True,
+        )
         return True
 
     async def _read(self, prefix: str) -> Listing | None:
@@ -214,6 +226,8 @@
         start: Listing,
         on_listing: Callable[[Listing], None],
         on_change: Callable[[Change], None],
+        *,
+        newest_only: bool = False,
     ) -> None:
         watch = PrefixWatch(
             store=self._store,
@@ -224,6 +238,7 @@
             clock=self.clock,
             timeline=self._timeline,
             start=start,
+            newest_only=newest_only,
         )
         self._tasks.spawn(watch.run(), name=f"watch-{prefix}")
 
@@ -275,6 +290,25 @@
             self._take_worker(change.key, change.value, change.revision)
         self.note_change()
 
+    def _list_evacuations(self, listing: Listing) -> None:
+        domains = (decode_evacuated_domain(item.key) for item in listing.items)
+        self._evacuate_domains(frozenset(domains))
+
+    def _change_evacuation(self, change: Change) -> None:
+        domain = frozenset((decode_evacuated_domain(change.key),))
+        if change.value is None:
+            self._evacuate_domains(self.core.evacuated - domain)
+        else:
+            self._evacuate_domains(self.core.evacuated | domain)
+
+    def _evacuate_domains(self, domains: frozenset[str]) -> None:
+        for domain in sorted(domains - self.core.evacuated):
+            self._timeline.record(Event.DOMAIN_EVACUATED, evacuated=domain)
+        for domain in sorted(self.core.evacuated - domains):
+            self._timeline.record(Event.DOMAIN_TAKEN_BACK, taken_back=domain)
+        self.core.evacuate_domains(domains)
+        self.note_change()
+
     def _take_worker(self, key: str, value: bytes, revision: int) -> None:
         if self._known_entries.get(key) == revision:
             return
--- a/src/firladder/_internal/utils/events.py
+++ b/src/firladder/_internal/utils/events.py
@@ -78,6 +78,8 @@
     TERM_ENDED = (532, "term of leadership ended")
     WORKER_DRAINING = (540, "worker drains")
     CORE_DECIDED = (541, "scheduling decision")
+    DOMAIN_EVACUATED = (542, "failure domain gets no new work")
+    DOMAIN_TAKEN_BACK = (543, "failure domain gets work again")
 
     @property
     def number(self) -> int:
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -168,6 +168,11 @@
         status, _ = call(self.store, "POST", "/put", {"key": key, "value": value})
         assert status == 200, status
 
+    def remove(self, key: str) -> None:
+        """Remove a key as the operator would."""
+        status, _ = call(self.store, "POST", "/remove", {"key": key})
+        assert status == 200, status
+
     def set_store_faults(self, **faults: Any) -> None:
         """Let the store do wrong."""
         call(self.store, "POST", "/faults", faults)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -277,3 +277,10 @@
     value = body["value"]
     raw = value.encode() if isinstance(value, str) else msgspec.json.encode(value)
     return reply_json({"revision": await app.store.put(body["key"], raw)})
+
+
+@routes.route("POST", "/remove")
+async def remove(app: StoreApp, call: HttpCall) -> HttpReply:
+    """Remove a key as the operator would."""
+    body = msgspec.json.decode(call.body)
+    return reply_json({"revision": await app.store.apply([], [body["key"]])})
