--- a/features/network_answers.feature
+++ b/features/network_answers.feature
@@ -40,3 +40,9 @@
     Given a store with 8 idle connections that have all fallen silent
     When items are read with 0.2 s for each until one is answered
     Then at most 1 read was lost
+
+  Scenario: A listing of the product's own store that keeps arriving is read to its end
+    Guards against a limit for small answers on a configuration of a megabyte.
+    Given a store of the product's own whose listing takes 3 s to arrive
+    When the product's own store is listed
+    Then the listing is whole
--- a/features/steps/network_answers_steps.py
+++ b/features/steps/network_answers_steps.py
@@ -3,6 +3,7 @@
 
 from behave import given, then, when
 
+from firladder._internal.etcd.store import Snapshot, StoreClient
 from firladder._internal.exceptions import (
     AnswerTooLarge,
     SentUnanswered,
@@ -27,7 +28,8 @@
 class PartServer:
     """Answers each call with parts, some time apart."""
 
-    def __init__(self, parts, takes_s, silent_path=b" none "):
+    def __init__(self, parts, takes_s, silent_path=b" none ", first=b""):
+        self.first = first
         self.silent_path = silent_path
         self.parts = parts
         self.gap_s = takes_s / parts
@@ -51,9 +53,11 @@
         writer.close()
 
     async def send(self, writer):
-        for _ in range(self.parts):
+        # The first part has the content, the others are blanks behind it.
+        for number in range(self.parts):
             await asyncio.sleep(self.gap_s)
-            writer.write(PART)
+            part = self.first if number == 0 else b""
+            writer.write(part.ljust(len(PART)))
 
 
 @given("a server whose answer of {parts:d} parts takes {takes:d} s")
@@ -206,3 +210,23 @@
 @then("at most {most:d} read was lost")
 def check_lost(context, most):
     assert context.lost <= most, context.lost
+
+
+@given("a store of the product's own whose listing takes {takes:d} s to arrive")
+def start_own_store(context, takes):
+    context.server = PartServer(30, takes, first=b'{"header": {"revision": "7"}}')
+    play(context, context.server.start())
+
+
+@when("the product's own store is listed")
+def list_own_store(context):
+    store = StoreClient(
+        url=f"http://127.0.0.1:{context.server.port}", http=HttpClient()
+    )
+    context.result = play(context, store.range("firladder/"))
+
+
+@then("the listing is whole")
+def check_listing(context):
+    assert isinstance(context.result, Snapshot), context.result
+    assert context.result.revision == 7
