--- a/features/steps/configuration_links_steps.py
+++ b/features/steps/configuration_links_steps.py
@@ -13,14 +13,13 @@
     Exchange,
     ExchangeFabric,
     LoopClock,
+    build_nodes,
     play,
 )
 from firladder._internal.exceptions import PeerUnreachable
-from firladder._internal.node.configuration import ConfigurationStore
-from firladder._internal.node.fleet import GREET_S, Fleet
-from firladder._internal.utils.clocks import LogicalClock
+from firladder._internal.node.fleet import GREET_S
 from firladder._internal.utils.codec import encode_json
-from firladder._internal.utils.events import Event, Timeline
+from firladder._internal.utils.events import Event
 from standins.proxy import Mode, Proxy
 from standins.site import wait_for
 
@@ -192,25 +191,7 @@
     context.turned_away = set(rng.sample(ips, count // 3))
     context.rng = rng
     context.nodes = {}
-    for number, ip in enumerate(ips):
-        configuration = ConfigurationStore()
-        configuration.offer(b'{"version": 1}', source="test")
-        fleet = Fleet(
-            ip=ip,
-            failure_domain=f"domain-{number % DOMAINS}",
-            port=1,
-            seeds=tuple(rng.sample(ips, min(count, 60))),
-            fabric=context.exchange.join(ip),
-            configuration=configuration,
-            clock=context.clock,
-            rng=random.Random(number),
-            timeline=Timeline(
-                process=ip, clock=context.clock, logical=LogicalClock(), capacity=64
-            ),
-            reaches_store=lambda ip=ip: ip not in context.turned_away,
-        )
-        configuration.listeners.append(fleet.distribution.advertise)
-        context.nodes[ip] = (fleet, configuration)
+    build_nodes(context, ips, rng, reaches_store=set(ips) - context.turned_away)
 
 
 @when("{versions:d} versions of {routes:d} routes come {gap:f} s apart")
--- a/features/steps/node_configuration_steps.py
+++ b/features/steps/node_configuration_steps.py
@@ -120,6 +120,11 @@
     turned_away = {"none": 0, "a third": count // 3}[share]
     context.served = set(ips) - set(rng.sample(ips, turned_away))
     context.nodes = {}
+    build_nodes(context, ips, rng, reaches_store=context.served)
+
+
+def build_nodes(context, ips, rng, *, reaches_store):
+    """Make a node of each address, all with version 1 and some sixty seeds."""
     for number, ip in enumerate(ips):
         configuration = ConfigurationStore()
         configuration.offer(b'{"version": 1}', source="test")
@@ -127,7 +132,7 @@
             ip=ip,
             failure_domain=f"domain-{number % DOMAINS}",
             port=1,
-            seeds=tuple(rng.sample(ips, min(count, 60))),
+            seeds=tuple(rng.sample(ips, min(len(ips), 60))),
             fabric=context.exchange.join(ip),
             configuration=configuration,
             clock=context.clock,
@@ -135,7 +140,7 @@
             timeline=Timeline(
                 process=ip, clock=context.clock, logical=LogicalClock(), capacity=64
             ),
-            reaches_store=lambda ip=ip: ip in context.served,
+            reaches_store=lambda ip=ip: ip in reaches_store,
         )
         configuration.listeners.append(fleet.distribution.advertise)
         context.nodes[ip] = (fleet, configuration)
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -12,6 +12,7 @@
 from .evacuation import list_leaving
 from .health import find_suspect_pools
 from .idleness import FAR_AFTER_S, LENT_AFTER_S, find_idle_pools, stands_still
+from .lateness import is_late
 from .placement import (
     Candidate,
     list_suitable,
@@ -50,10 +51,6 @@
 """Seconds kept of that time in any case: a stop takes up to 0.9 s, its end is read and
 the new run stored and ordered within half a second, and a busy leader is later."""
 
-VERY_LATE = 4.0
-"""Multiples of its objective after which late urgent work goes first again;
-three times the objective is still of some use to whoever waits."""
-
 SPREAD_AFTER = 0.6
 """Share of the time within which guaranteed work must begin, after which such a
 gang takes any racks. It then takes several times as long, and keeps its
@@ -221,7 +218,7 @@
         accepted = unit.job.accepted
         return (
             accepted.priority,
-            self._is_late(unit, wall),
+            accepted.priority == 0 and self._is_late(unit, wall),
             accepted.accepted_at_s,
             unit.occurrence,
             unit.step_index,
@@ -229,20 +226,9 @@
         )
 
     def _is_late(self, unit: Unit, wall: float) -> bool:
-        """Tell whether urgent work can no longer be in time.
-
-        Answers a burst of urgent jobs beyond the room: in the order of arrival
-        each would wait behind those that are late already, and all would be late.
-        Late work follows, in its order; very late work goes first again, so that
-        nothing waits for ever.
-        """
         accepted = unit.job.accepted
-        if accepted.priority > 0:
-            return False
         takes_s = self._estimates.estimate_run(unit)
-        objective_s = accepted.stretch * takes_s + accepted.slo_s
-        age_s = wall - accepted.accepted_at_s
-        return objective_s < age_s + takes_s and age_s < VERY_LATE * objective_s
+        return is_late(accepted, takes_s=takes_s, age_s=wall - accepted.accepted_at_s)
 
     def _use_claim(self, unit: Unit, claim: Claim, pool: Sequence[Candidate]) -> int:
         if not has_come(claim, pool):
--- a/src/firladder/_internal/exceptions.py
+++ b/src/firladder/_internal/exceptions.py
@@ -126,6 +126,12 @@
     http_status: ClassVar[int] = 503
 
 
+class StoreAnswerTooLarge(
+    StoreUncertain, frozen=True, kw_only=True, tag="store_answer_too_large"
+):
+    """The store's answer holds more bytes than the caller takes."""
+
+
 class StoreConflict(Failure, frozen=True, kw_only=True, tag="store_conflict"):
     """A comparison of the transaction did not hold: it has had no effect."""
 
@@ -252,6 +258,7 @@
     | Draining
     | StoreUnavailable
     | StoreUncertain
+    | StoreAnswerTooLarge
     | StoreConflict
     | PeerUnreachable
     | NotLeader
--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import os
 import random
 import signal
 from collections import Counter
@@ -20,6 +19,7 @@
 from ..platform.workers import WorkerCalls
 from ..utils.clocks import LogicalClock, SystemClock
 from ..utils.events import Event, Timeline
+from ..utils.files import WatchedFile
 from ..utils.tasks import TaskSet
 from ..utils.tokens import mint_incarnation
 from .answers import PeerAnswers, take_announcement
@@ -47,9 +47,6 @@
 LAST_CALLS_S = 1.5
 """Seconds for the calls that are open when the listener closes."""
 
-SETTINGS_LOOK_S = 1.0
-"""Seconds between looks at the settings file, which may change unannounced."""
-
 CAMPAIGN_PAUSE_S = 0.25
 """Seconds between two tries to become leader while nobody leads."""
 
@@ -69,8 +66,8 @@
     def __init__(self, settings_path: str) -> None:
         """Read the settings and build all parts; nothing listens yet."""
         self.settings_path = settings_path
-        # Taken before the file is read: a change in between is then seen.
-        self._settings_seen = _stat_settings(settings_path)
+        # Made before the file is read: a change in between is then seen.
+        self._settings_file = WatchedFile(settings_path)
         self.settings: NodeSettings = read_node_settings(settings_path)
         self.rng = random.Random()
         self.clock = SystemClock()
@@ -168,7 +165,8 @@
             self._tasks.spawn(watch.run(), name=f"watch-{watch.prefix}")
         self._tasks.spawn(self.isolation.run(), name="isolation")
         self._tasks.spawn(self._lead_forever(), name="lead")
-        self._tasks.spawn(self._watch_settings(), name="settings")
+        reading = self._settings_file.call_on_change(self._reload_settings)
+        self._tasks.spawn(reading, name="settings")
         self.life.fire("ready")
         await self._stopping.wait()
         await self._leave()
@@ -200,14 +198,6 @@
 
     # -- settings ---------------------------------------------------------------
 
-    async def _watch_settings(self) -> None:
-        while True:
-            await asyncio.sleep(SETTINGS_LOOK_S)
-            found = _stat_settings(self.settings_path)
-            if found != self._settings_seen:
-                self._settings_seen = found
-                self._reload_settings()
-
     def _reload_settings(self) -> None:
         try:
             fresh = read_node_settings(self.settings_path)
@@ -391,12 +381,3 @@
         """Count an answered call."""
         self.calls[method, status] += 1
         self.metrics.observe(method, status, spent_s)
-
-
-def _stat_settings(path: str) -> tuple[float, int]:
-    try:
-        found = os.stat(path)
-    except OSError as error:
-        logger.warning("settings file cannot be looked at: %s", error)
-        return 0.0, 0
-    return found.st_mtime, found.st_size
--- /dev/null
+++ b/src/firladder/_internal/node/evacuations.py
@@ -0,0 +1,41 @@
+"""Follow the operators' requests to keep new work out of failure domains."""
+
+from collections.abc import Callable
+
+from ..engine.core import Core
+from ..platform.evacuation import decode_evacuated_domain
+from ..platform.store import Change, Listing
+from ..utils.events import Event, Timeline
+
+
+class Evacuations:
+    """Tells the core which failure domains get nothing new, and logs the changes."""
+
+    def __init__(
+        self, *, core: Core, timeline: Timeline, on_change: Callable[[], None]
+    ) -> None:
+        """Steer ``core``; call ``on_change`` when it should plan again."""
+        self._core = core
+        self._timeline = timeline
+        self._on_change = on_change
+
+    def take_listing(self, listing: Listing) -> None:
+        """Take all requests that stand."""
+        domains = (decode_evacuated_domain(item.key) for item in listing.items)
+        self._set(frozenset(domains))
+
+    def take_change(self, change: Change) -> None:
+        """Take one request, or the end of one."""
+        domain = frozenset((decode_evacuated_domain(change.key),))
+        if change.value is None:
+            self._set(self._core.evacuated - domain)
+        else:
+            self._set(self._core.evacuated | domain)
+
+    def _set(self, domains: frozenset[str]) -> None:
+        for domain in sorted(domains - self._core.evacuated):
+            self._timeline.record(Event.DOMAIN_EVACUATED, evacuated=domain)
+        for domain in sorted(self._core.evacuated - domains):
+            self._timeline.record(Event.DOMAIN_TAKEN_BACK, taken_back=domain)
+        self._core.evacuate_domains(domains)
+        self._on_change()
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -17,7 +17,7 @@
 from ..exceptions import Failure, MalformedBody, NotLeader
 from ..models.workload import QueueConfiguration
 from ..platform.discovery import WORKER_PREFIX, decode_worker
-from ..platform.evacuation import EVACUATION_PREFIX, decode_evacuated_domain
+from ..platform.evacuation import EVACUATION_PREFIX
 from ..platform.settings import NodeSettings
 from ..platform.store import Change, Listing, PlatformStore
 from ..platform.workers import WorkerCalls
@@ -26,6 +26,7 @@
 from ..utils.tasks import TaskSet
 from .attendant import Attendant
 from .election import Leadership
+from .evacuations import Evacuations
 from .journal import Journal
 from .keys import CANCELS, INTAKE, JOBS, PROGRESS
 from .watching import PrefixWatch
@@ -86,6 +87,9 @@
         self._planner = Planner(
             self.core, reclaim_s=settings.reclaim_s, restart_s=settings.restart_s
         )
+        self._evacuations = Evacuations(
+            core=self.core, timeline=timeline, on_change=self.note_change
+        )
         self._revisions: dict[str, int] = {}
         self._attendants: dict[str, Attendant] = {}
         self._ended: asyncio.Future[str] = asyncio.get_running_loop().create_future()
@@ -178,7 +182,7 @@
         if evacuations is None:
             return False
         self._take_workers(workers)
-        self._list_evacuations(evacuations)
+        self._evacuations.take_listing(evacuations)
         recorded: dict[str, JobProgress] = {}
         for item in progress.items:
             job_id = item.key.removeprefix(PROGRESS)
@@ -206,8 +210,8 @@
         self._follow(
             EVACUATION_PREFIX,
             evacuations,
-            self._list_evacuations,
-            self._change_evacuation,
+            self._evacuations.take_listing,
+            self._evacuations.take_change,
             newest_only=True,
         )
         return True
@@ -290,25 +294,6 @@
             self._take_worker(change.key, change.value, change.revision)
         self.note_change()
 
-    def _list_evacuations(self, listing: Listing) -> None:
-        domains = (decode_evacuated_domain(item.key) for item in listing.items)
-        self._evacuate_domains(frozenset(domains))
-
-    def _change_evacuation(self, change: Change) -> None:
-        domain = frozenset((decode_evacuated_domain(change.key),))
-        if change.value is None:
-            self._evacuate_domains(self.core.evacuated - domain)
-        else:
-            self._evacuate_domains(self.core.evacuated | domain)
-
-    def _evacuate_domains(self, domains: frozenset[str]) -> None:
-        for domain in sorted(domains - self.core.evacuated):
-            self._timeline.record(Event.DOMAIN_EVACUATED, evacuated=domain)
-        for domain in sorted(self.core.evacuated - domains):
-            self._timeline.record(Event.DOMAIN_TAKEN_BACK, taken_back=domain)
-        self.core.evacuate_domains(domains)
-        self.note_change()
-
     def _take_worker(self, key: str, value: bytes, revision: int) -> None:
         if self._known_entries.get(key) == revision:
             return
--- a/src/firladder/_internal/platform/store.py
+++ b/src/firladder/_internal/platform/store.py
@@ -16,6 +16,7 @@
     NotFound,
     NotSent,
     SentUnanswered,
+    StoreAnswerTooLarge,
     StoreConflict,
     StoreUnavailable,
     StoreUncertain,
@@ -219,7 +220,7 @@
             "after": str(after),
             "wait_ms": str(int(wait_s * 1000)),
         }
-        answer = await self._send(
+        answer = await self._call(
             "GET",
             "/-/kv-watch",
             query,
@@ -227,7 +228,7 @@
             stall_s=STALL_S,
             most_bytes=most_bytes,
         )
-        if isinstance(answer, AnswerTooLarge):
+        if isinstance(answer, StoreAnswerTooLarge):
             return HistoryLost(reason=answer.reason)
         if not isinstance(answer, HttpAnswer):
             return answer
@@ -322,25 +323,8 @@
         body: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
         stall_s: float | None = None,
-    ) -> HttpAnswer | StoreUnavailable | StoreUncertain:
-        answer = await self._send(
-            method, path, query, body=body, timeout_s=timeout_s, stall_s=stall_s
-        )
-        if isinstance(answer, AnswerTooLarge):
-            return StoreUncertain(reason=answer.reason)
-        return answer
-
-    async def _send(
-        self,
-        method: str,
-        path: str,
-        query: dict[str, str] | None = None,
-        *,
-        body: bytes = b"",
-        timeout_s: float = CALL_TIMEOUT_S,
-        stall_s: float | None = None,
         most_bytes: int = MAX_RESPONSE,
-    ) -> HttpAnswer | AnswerTooLarge | StoreUnavailable | StoreUncertain:
+    ) -> HttpAnswer | StoreUnavailable | StoreUncertain:
         self.calls += 1
         url = f"http://{self.address}{path}"
         if query:
@@ -355,7 +339,7 @@
             most_bytes=most_bytes,
         )
         if isinstance(answer, AnswerTooLarge):
-            return answer
+            return StoreAnswerTooLarge(reason=answer.reason)
         if isinstance(answer, NotSent | SentUnanswered):
             # What waits behind a large answer on a small link may run out of time.
             # While that answer arrives, the store is not away.
