Close idle connections and let open calls end before a node stops

The listener was closed by then, but open connections took calls until the process was gone.

Without the guard the scenario fails.

--- a/features/network_answers.feature
+++ b/features/network_answers.feature
@@ -46,3 +46,10 @@
     Given a store of the product's own whose listing takes 3 s to arrive
     When the product's own store is listed
     Then the listing is whole
+
+  Scenario: A listener that finishes takes no call that it cannot answer
+    Guards against calls on open connections that are read just before the process ends.
+    Given a listener with an idle connection and a call that takes 0.5 s
+    When the listener finishes within 2 s
+    Then the idle connection was closed before the call was answered
+    And the call was answered
--- a/features/steps/network_answers_steps.py
+++ b/features/steps/network_answers_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 import time
 
 from behave import given, then, when
@@ -10,6 +11,11 @@
     StoreUncertain,
 )
 from firladder._internal.network.http_client import HttpAnswer, HttpClient
+from firladder._internal.network.http_server import (
+    HttpServer,
+    RouteTable,
+    reply_json,
+)
 from firladder._internal.platform.store import PlatformStore
 from firladder._internal.utils.clocks import SystemClock
 
@@ -230,3 +236,81 @@
 def check_listing(context):
     assert isinstance(context.result, Snapshot), context.result
     assert context.result.revision == 7
+
+
+FINISHING = RouteTable()
+
+
+class SlowApp:
+    """Serves one call that takes a while, and others at once."""
+
+    def __init__(self, takes_s):
+        self.takes_s = takes_s
+
+
+@FINISHING.route("GET", "/slow")
+async def answer_slowly(app, call):
+    await asyncio.sleep(app.takes_s)
+    return reply_json({"answered": True})
+
+
+@FINISHING.route("GET", "/quick")
+async def answer_quickly(app, call):
+    return reply_json({"answered": True})
+
+
+class Caller:
+    """An open connection; notes when it was answered and when it was closed."""
+
+    async def start(self, port, path):
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
+        self.writer.write(f"GET {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+        self.reading = asyncio.ensure_future(self.read())
+
+    async def read(self):
+        self.answered_at = self.closed_at = None
+        while data := await self.reader.read(4096):
+            if b"answered" in data:
+                self.answered_at = time.monotonic()
+        self.closed_at = time.monotonic()
+
+
+@given("a listener with an idle connection and a call that takes {takes:f} s")
+def start_listener(context, takes):
+    context.listener = HttpServer(SlowApp(takes), FINISHING)
+    context.idle, context.slow = Caller(), Caller()
+
+    async def start():
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        context.listener.listen(f"127.0.0.1:{port}")
+        await context.idle.start(port, "/quick")
+        await context.slow.start(port, "/slow")
+        await asyncio.sleep(0.2)
+        assert context.idle.answered_at and not context.slow.answered_at
+
+    play(context, start())
+
+
+@when("the listener finishes within {seconds:d} s")
+def finish_listener(context, seconds):
+    async def finish():
+        await context.listener.finish(within_s=seconds)
+        await asyncio.wait((context.idle.reading, context.slow.reading), timeout=0.5)
+        await context.listener.close()
+
+    play(context, finish())
+
+
+@then("the idle connection was closed before the call was answered")
+def check_closed_first(context):
+    assert context.idle.closed_at is not None
+    assert context.slow.answered_at is None or (
+        context.idle.closed_at < context.slow.answered_at
+    )
+
+
+@then("the call was answered")
+def check_answered(context):
+    assert context.slow.answered_at is not None
--- a/src/firladder/_internal/network/http_limits.py
+++ b/src/firladder/_internal/network/http_limits.py
@@ -73,6 +73,16 @@
         self._waiting.pop(connection, None)
         self._served.discard(connection)
 
+    def take_waiting(self) -> list[Any]:
+        """Return, and forget, the connections without an open call."""
+        waiting = list(self._waiting)
+        self._waiting.clear()
+        return waiting
+
+    def count_served(self) -> int:
+        """Return the connections with an open call."""
+        return len(self._served)
+
     def take_late(self, now: float) -> list[Any]:
         """Return, and forget, the connections that took too long."""
         late = [c for c, t in self._waiting.items() if now - t > self._patience_s]
--- a/src/firladder/_internal/network/http_server.py
+++ b/src/firladder/_internal/network/http_server.py
@@ -198,6 +198,10 @@
     }
 
 
+FINISH_LOOK_S = 0.02
+"""Seconds between looks at the calls that are still open."""
+
+
 class HttpServer:
     """A listener that owns its port and the calls in flight."""
 
@@ -249,6 +253,20 @@
         if deferred is not None:
             await deferred.asFuture(asyncio.get_running_loop())
 
+    async def finish(self, *, within_s: float) -> None:
+        """Close the connections without an open call, and let open calls end.
+
+        A connection that is left open takes calls until the process is gone: one that
+        is read in its last moments would never be answered.
+        """
+        end = time.monotonic() + within_s
+        while True:
+            for transport in self.places.take_waiting():
+                transport.loseConnection()
+            if not self.places.count_served() or time.monotonic() >= end:
+                return
+            await asyncio.sleep(FINISH_LOOK_S)
+
     async def close(self) -> None:
         """Stop listening and give up the calls that are still open."""
         await self.stop_listening()
--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -47,6 +47,10 @@
 LAST_CALLS_S = 1.5
 """Seconds for the calls that are open when the listener closes."""
 
+LAST_ANSWERS_S = 0.8
+"""Seconds for the calls that are still open when all other connections are closed; the
+platform kills the process a second later."""
+
 CAMPAIGN_PAUSE_S = 0.25
 """Seconds between two tries to become leader while nobody leads."""
 
@@ -181,6 +185,7 @@
         self._closing = True
         await self._front.stop_listening()
         await asyncio.sleep(LAST_CALLS_S)
+        await self._front.finish(within_s=LAST_ANSWERS_S)
         self.life.fire("stop")
         self.timeline.record(Event.NODE_STOPPED)
         await self._tasks.close()
