Log how long an order to a worker waits, and how long its answer takes

Two hypotheses on the small twin of hvk grown could not be told apart: the leader's link delays answers beyond the time for which they are awaited, or repeated stops fill the one queue of a worker and starts wait behind them. An order that was not answered said neither for how long it had waited nor for how long its answer was awaited, and a stop without an answer said nothing at all.

Each order now counts in two histograms, and one that is not taken is logged with both times and the length of its worker's queue. Nothing else changes.

--- a/src/firladder/_internal/node/attendant.py
+++ b/src/firladder/_internal/node/attendant.py
@@ -1,6 +1,7 @@
 """Attend one worker: look what runs there, renew its lease, carry orders."""
 
 import asyncio
+import dataclasses
 import logging
 from typing import Protocol
 
@@ -48,6 +49,23 @@
 a worker answers at once while it has ends that nobody acknowledged."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """A start or a stop that waits for the orders before it.
+
+    ``queued_at`` is the leader's own time, in seconds.
+    """
+
+    placement: Placement
+    start: bool
+    queued_at: float
+
+    @property
+    def kind(self) -> str:
+        """Return the order's name in logs and metrics."""
+        return "start" if self.start else "stop"
+
+
 def lengthen_pause(pause_s: float, *, holds_runs: bool) -> float:
     """Return for how long to wait after one more failed look, in seconds."""
     return min(2 * pause_s, HELD_PAUSE_S if holds_runs else MOST_PAUSE_S)
@@ -67,6 +85,9 @@
     def note_change(self) -> None:
         """Plan and write what an event has changed."""
 
+    def note_order(self, kind: str, waited_s: float, took_s: float) -> None:
+        """Count an order that waited for others and was then sent."""
+
     def step_down(self, reason: str) -> None:
         """End the term."""
 
@@ -80,7 +101,7 @@
         self._core = owner.core
         self._worker = worker
         self._wake = asyncio.Event()
-        self._orders: asyncio.Queue[tuple[Placement, bool]] = asyncio.Queue()
+        self._orders: asyncio.Queue[Order] = asyncio.Queue()
 
     def wake(self) -> None:
         """Look again, if there is anything to look at."""
@@ -88,7 +109,8 @@
 
     def order(self, placement: Placement, *, start: bool) -> None:
         """Send a start or a stop after the orders before it."""
-        self._orders.put_nowait((placement, start))
+        now = self._owner.clock.read_monotonic()
+        self._orders.put_nowait(Order(placement, start, now))
 
     @property
     def _gone(self) -> bool:
@@ -196,16 +218,16 @@
     async def carry_orders(self) -> None:
         """Send the orders one after the other over one connection."""
         while not self._gone:
-            placement, start = await self._orders.get()
-            if start:
-                await self._start(placement)
+            order = await self._orders.get()
+            if order.start:
+                await self._start(order)
             else:
-                await self._stop(placement)
+                await self._stop(order)
             self.wake()
             self._owner.note_change()
 
-    async def _start(self, placement: Placement) -> None:
-        worker, owner = self._worker, self._owner
+    async def _start(self, order: Order) -> None:
+        worker, owner, placement = self._worker, self._owner, order.placement
         if placement.phase is not Phase.SENT or self._gone:
             return
         hold_s = self._core.hold_s
@@ -217,9 +239,11 @@
             self._core.read_start(placement, dropped, sent_at)
             return
         grant = leases.note_grant_sent(worker, now=sent_at, hold_s=hold_s)
-        order = self._core.describe_start(placement)
-        answer = await owner.calls.start(order, deadline_s=deadline_s)
+        answer = await owner.calls.start(
+            self._core.describe_start(placement), deadline_s=deadline_s
+        )
         now = owner.clock.read_monotonic()
+        self._note_answer(order, answer, sent_at=sent_at, now=now)
         if isinstance(answer, float | OrderRejected):
             # A rejected start may still have lengthened the lease.
             leases.note_grant_answered(
@@ -227,28 +251,43 @@
             )
         elif isinstance(answer, NotSent | WorkerRefused):
             leases.note_grant_dropped(worker, grant)
-        if not isinstance(answer, float):
-            logger.info(
-                "start not taken",
-                extra={
-                    "job": placement.task.job_id,
-                    "worker": worker.worker_id,
-                    "run": placement.run,
-                    "reason": answer.reason,
-                },
-            )
         if isinstance(answer, FencedOff):
             owner.step_down("a worker knows a higher fencing token")
             return
         self._core.read_start(placement, answer, now)
 
-    async def _stop(self, placement: Placement) -> None:
-        order = self._core.describe_stop(placement)
-        if order is None or placement.key not in self._worker.placements:
+    async def _stop(self, order: Order) -> None:
+        owner, placement = self._owner, order.placement
+        stop = self._core.describe_stop(placement)
+        if stop is None or placement.key not in self._worker.placements:
             return
-        answer = await self._owner.calls.stop(order)
+        sent_at = owner.clock.read_monotonic()
+        answer = await owner.calls.stop(stop)
+        now = owner.clock.read_monotonic()
+        self._note_answer(order, answer, sent_at=sent_at, now=now)
         if isinstance(answer, FencedOff):
-            self._owner.step_down("a worker knows a higher fencing token")
+            owner.step_down("a worker knows a higher fencing token")
             return
-        now = self._owner.clock.read_monotonic()
         self._core.read_stop(placement, answer, now)
+
+    def _note_answer(
+        self, order: Order, answer: float | OrderFailure, *, sent_at: float, now: float
+    ) -> None:
+        waited_s, took_s = sent_at - order.queued_at, now - sent_at
+        self._owner.note_order(order.kind, waited_s, took_s)
+        if isinstance(answer, float):
+            return
+        logger.info(
+            "order not taken",
+            extra={
+                "kind": order.kind,
+                "job": order.placement.task.job_id,
+                "index": order.placement.task.index,
+                "worker": self._worker.worker_id,
+                "run": order.placement.run,
+                "waited_s": round(waited_s, 3),
+                "took_s": round(took_s, 3),
+                "queued": self._orders.qsize(),
+                "reason": answer.reason,
+            },
+        )
--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -345,6 +345,7 @@
             clock=self.clock,
             rng=self.rng,
             timeline=self.timeline,
+            on_order=self.metrics.observe_order,
             load_s=self._load_s,
         )
         self.term = term
--- a/src/firladder/_internal/node/metrics.py
+++ b/src/firladder/_internal/node/metrics.py
@@ -68,6 +68,18 @@
         self.looks = self._gauge(
             "firladder_worker_calls_total", "Calls made to workers in this term"
         )
+        self.order_waits = Histogram(
+            "firladder_order_wait_seconds",
+            "Time that an order waits for others to the same worker, by kind",
+            buckets=BUCKETS_S,
+            registry=self.registry,
+        )
+        self.order_answers = Histogram(
+            "firladder_order_answer_seconds",
+            "Time until an order's answer, or until it is given up, by kind",
+            buckets=BUCKETS_S,
+            registry=self.registry,
+        )
         self.memory = self._gauge(
             "firladder_node_resident_peak_bytes", "Largest resident memory so far"
         )
@@ -80,6 +92,11 @@
         self.calls.inc({"method": method, "status": str(status)})
         self.latency.observe({"method": method}, spent_s)
 
+    def observe_order(self, kind: str, waited_s: float, took_s: float) -> None:
+        """Count one order to a worker."""
+        self.order_waits.observe({"kind": kind}, waited_s)
+        self.order_answers.observe({"kind": kind}, took_s)
+
     def collect(self, node: "Node") -> None:
         """Refresh what is read when it is asked for."""
         usage = resource.getrusage(resource.RUSAGE_SELF)
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -33,6 +33,10 @@
 
 logger = logging.getLogger(__name__)
 
+ObserveOrder = Callable[[str, float, float], None]
+"""Takes an order's kind, how long it waited for others, and how long its answer took,
+both in seconds."""
+
 TICK_S = 0.25
 """Seconds between two looks at the clock: lapses, stalls, repeated stops."""
 
@@ -70,10 +74,12 @@
         clock: Clock,
         rng: random.Random,
         timeline: Timeline,
+        on_order: ObserveOrder,
         load_s: float = LOAD_S,
     ) -> None:
         """Lead under ``leadership``; nothing is read or sent yet."""
         self._load_s = load_s
+        self._on_order = on_order
         self.too_slow = False
         self.core = Core(hold_s=settings.max_hold_s, note=self._note)
         self.calls = calls
@@ -124,6 +130,10 @@
         """Plan and write what an event has changed, soon."""
         self._change.set()
 
+    def note_order(self, kind: str, waited_s: float, took_s: float) -> None:
+        """Count an order that waited for others and was then sent."""
+        self._on_order(kind, waited_s, took_s)
+
     def adopt_configuration(self, configuration: QueueConfiguration) -> None:
         """Schedule by a new configuration from now on."""
         self.core.configuration = configuration
