End a gang's run at once when one member cannot take part

Cause: when a member's start had no answer, or a look did not list a member that was at work, only that member got a stop. The run could not begin any more, but its other members stood until the lost one was proved over, which takes seconds while orders are lost; by then they had ended alone after the gang's time limit, and held their workers all the while. Every other way in which a run ends already gave up the whole of it.

A gang that is done already is not touched, and the member itself still gets its stop.

--- /dev/null
+++ b/features/engine_gang_starts.feature
@@ -0,0 +1,13 @@
+Feature: A gang that cannot begin any more frees all its workers at once
+
+  Scenario Outline: All members end when one of them cannot take part
+    Guards against members that hold their workers until they end alone.
+    Given a gang of 3 of which two members are at work and one is <third>
+    When <event>
+    Then all three members are ordered to stop
+    And the gang is planned again within 0.1 s of the proof that they are over
+
+    Examples:
+      | third   | event                                             |
+      | sent    | the start of the third gets no answer             |
+      | at work | a look does not list the third, nor any end of it |
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -151,7 +151,7 @@
         if placement.phase is Phase.ACTIVE:
             # It was there and no end is listed: make sure that it cannot be,
             # then let the next look decide.
-            self._order_stop(placement)
+            self._end_run_of(placement)
             return
         self._resolve(worker, placement, None)
 
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -204,7 +204,7 @@
         if isinstance(answer, SentUnanswered | FencedOff):
             self.note_unreachable(worker, now)
             if placement.phase is Phase.SENT:
-                self._order_stop(placement)
+                self._end_run_of(placement)
             return
         self._judge_refusal(worker, placement, answer, now)
         self._resolve(worker, placement, None)
@@ -303,6 +303,16 @@
         placement.stop_answered = False
         self.stops.append(placement)
 
+    def _end_run_of(self, placement: Placement) -> None:
+        """Stop a placement that cannot take part any more, and with it its run.
+
+        The other members of a gang would wait for it, and hold their workers, until
+        they end alone.
+        """
+        self._order_stop(placement)
+        if placement.unit is not None:
+            self._give_up_run(placement.unit)
+
     def _give_up_run(self, unit: Unit) -> None:
         if unit.state is UnitState.DONE:
             return
