Queue a stop for a worker only once

Cause: a stop without an answer is handed out again every half second, and is awaited for 0.35 s. Orders to one worker leave one after the other, so two placements that are being stopped on a worker without answers are enough for its queue to grow without end, mostly with copies of the same stops.

A stop that still waits is not queued again, and one that was answered in the meantime is not sent. The scenario has a worker fall silent for 6 s with eight tasks to stop; before, more than eight stops waited for it.

--- a/features/steps/configuration_links_steps.py
+++ b/features/steps/configuration_links_steps.py
@@ -12,10 +12,9 @@
     ENVELOPE_BYTES,
     Exchange,
     ExchangeFabric,
-    LoopClock,
     build_nodes,
-    play,
 )
+from features.support.virtual_time import LoopClock, play
 from firladder._internal.exceptions import PeerUnreachable
 from firladder._internal.node.fleet import GREET_S
 from firladder._internal.utils.codec import encode_json
--- /dev/null
+++ b/features/steps/node_order_steps.py
@@ -0,0 +1,46 @@
+import asyncio
+
+from behave import given, then, when
+
+from features.support.engine_world import make_job, make_step
+from features.support.fake_workers import AttendedWorkers
+from features.support.virtual_time import play
+
+
+@given("a leader whose worker runs 8 tasks and falls silent")
+def fill_worker(context):
+    context.leader = AttendedWorkers(1)
+    context.leader.engine.submit(make_job("job", make_step(8, 1)))
+
+
+@when("all of them are to be stopped and nothing is heard for {silent:d} s")
+def stop_all(context, silent):
+    leader = context.leader
+    calls = leader.calls
+
+    async def fall_silent():
+        leading = asyncio.create_task(leader.lead(1.0 + silent + 2.0))
+        await asyncio.sleep(1.0)
+        assert len(calls.running) == 8, calls.running
+        calls.silent = True
+        leader.core.cancel_job("job")
+        leader.note_change()
+        await asyncio.sleep(silent)
+        (attendant,) = leader.attendants.values()
+        context.waiting = attendant.waiting_orders
+        calls.silent = False
+        await asyncio.sleep(1.0)
+        context.left = dict(calls.running)
+        await leading
+
+    play(fall_silent())
+
+
+@then("at most {most:d} stops wait for the worker")
+def check_waiting(context, most):
+    assert context.waiting <= most, context.waiting
+
+
+@then("all are carried out within 1 s of its return")
+def check_stopped(context):
+    assert context.left == {}, context.left
--- a/src/firladder/_internal/node/attendant.py
+++ b/src/firladder/_internal/node/attendant.py
@@ -102,16 +102,30 @@
         self._worker = worker
         self._wake = asyncio.Event()
         self._orders: asyncio.Queue[Order] = asyncio.Queue()
+        self._stopping: set[Placement] = set()
 
     def wake(self) -> None:
         """Look again, if there is anything to look at."""
         self._wake.set()
 
     def order(self, placement: Placement, *, start: bool) -> None:
-        """Send a start or a stop after the orders before it."""
+        """Send a start or a stop after the orders before it.
+
+        A stop that still waits is not queued again: it is repeated more often than a
+        worker without answers takes one, and starts would wait behind all of them.
+        """
+        if not start:
+            if placement in self._stopping:
+                return
+            self._stopping.add(placement)
         now = self._owner.clock.read_monotonic()
         self._orders.put_nowait(Order(placement, start, now))
 
+    @property
+    def waiting_orders(self) -> int:
+        """Return how many orders wait to be sent."""
+        return self._orders.qsize()
+
     @property
     def _gone(self) -> bool:
         return self._core.workers.get(self._worker.worker_id) is not self._worker
@@ -223,6 +237,7 @@
                 await self._start(order)
             else:
                 await self._stop(order)
+                self._stopping.discard(order.placement)
             self.wake()
             self._owner.note_change()
 
@@ -261,6 +276,8 @@
         stop = self._core.describe_stop(placement)
         if stop is None or placement.key not in self._worker.placements:
             return
+        if placement.stop_answered:
+            return
         sent_at = owner.clock.read_monotonic()
         answer = await owner.calls.stop(stop)
         now = owner.clock.read_monotonic()
@@ -287,7 +304,7 @@
                 "run": order.placement.run,
                 "waited_s": round(waited_s, 3),
                 "took_s": round(took_s, 3),
-                "queued": self._orders.qsize(),
+                "queued": self.waiting_orders,
                 "reason": answer.reason,
             },
         )
