Prove at once that a run did not begin, beside a look that waits

Cause: a run without an answer is stopped, and over when a look that left after the stop's answer does not list it. The look that was open then had left before, and returns with the next end or after two seconds; the next one waited for an end as well. Where nothing had begun nothing ended, so that it took two to four seconds.

A look does not wait while a stopped run has to be proved absent that the worker never showed, and when one waits already, another is sent beside it. Runs that were seen at work are left to the look that waits: their end is listed and brings it back.

--- a/features/node_orders.feature
+++ b/features/node_orders.feature
@@ -6,3 +6,9 @@
     When all of them are to be stopped and nothing is heard for 6 s
     Then at most 8 stops wait for the worker
     And all are carried out within 1 s of its return
+
+  Scenario: A run that did not begin is proved absent beside a look that waits
+    Guards against room that stays taken for seconds after its stop was answered.
+    Given a leader whose worker has one task at work
+    When the start of another task is lost, and its stop is answered
+    Then that task is ordered again within 0.3 s of the answer
--- a/features/steps/node_order_steps.py
+++ b/features/steps/node_order_steps.py
@@ -44,3 +44,36 @@
 @then("all are carried out within 1 s of its return")
 def check_stopped(context):
     assert context.left == {}, context.left
+
+
+@given("a leader whose worker has one task at work")
+def run_one(context):
+    context.leader = AttendedWorkers(1)
+    context.leader.engine.submit(make_job("long", make_step(1, 1)))
+
+
+@when("the start of another task is lost, and its stop is answered")
+def lose_start(context):
+    leader = context.leader
+
+    async def lose():
+        leading = asyncio.create_task(leader.lead(8.0))
+        await asyncio.sleep(1.0)
+        # The look that waits has left by now, and nothing ends for two seconds.
+        leader.calls.lost = ["start"] * 4
+        leader.engine.submit(make_job("lost", make_step(1, 1)))
+        leader.note_change()
+        await asyncio.sleep(2.0)
+        leader.calls.lost = []
+        await leading
+
+    play(lose())
+
+
+@then("that task is ordered again within {seconds:f} s of the answer")
+def check_again(context, seconds):
+    calls = context.leader.calls
+    sent = [s for s in calls.sent if s.task and s.task.job_id == "lost"]
+    stop = next(s for s in sent if s.kind == "stop")
+    again = next(s for s in sent if s.kind == "start" and s.run == 2)
+    assert again.at - stop.at <= calls.answer_s + seconds, sent
--- a/features/support/fake_workers.py
+++ b/features/support/fake_workers.py
@@ -87,11 +87,19 @@
         return asyncio.get_running_loop().time()
 
 
+class TickingClock(LoopClock):
+    """Goes on by a microsecond with each reading, so that no two are the same."""
+
+    def read_monotonic(self) -> float:
+        self.now += 1e-6
+        return super().read_monotonic()
+
+
 class AttendedWorkers:
     """An engine whose workers are attended as a leader does it."""
 
     def __init__(self, workers: int) -> None:
-        self.clock = LoopClock()
+        self.clock = TickingClock()
         self.engine = EngineWorld(workers)
         self.core = self.engine.core
         self.calls = FakeWorkerCalls()
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -117,6 +117,7 @@
         self, placement: Placement, checkpoint: str, percent: float, now: float
     ) -> None:
         unit = placement.unit
+        placement.seen = True
         if placement.phase is Phase.SENT:
             self._activate(placement, now)
         elif placement.phase is Phase.RECOVERED and unit is not None:
@@ -151,6 +152,7 @@
         if placement.phase is Phase.ACTIVE:
             # It was there and no end is listed: make sure that it cannot be,
             # then let the next look decide.
+            placement.seen = False
             self._end_run_of(placement)
             return
         self._resolve(worker, placement, None)
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -193,6 +193,7 @@
         if worker is None or placement.key not in worker.placements:
             return
         if isinstance(answer, float):
+            placement.seen = True
             if placement.settled_at == math.inf:
                 placement.settled_at = now
             if placement.phase is Phase.SENT:
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -52,7 +52,8 @@
     ``settled_at`` is when the last order for it was answered: a look that left
     later and does not list the task proves that it is not there. ``whole`` says that it
     began under this leader and from nothing, so that its times can be learned from;
-    ``timed`` that moreover its worker's speed was not read from it yet.
+    ``timed`` that moreover its worker's speed was not read from it yet. ``seen`` says
+    that the worker has shown the run, so that it will list its end.
     """
 
     unit: "Unit | None"
@@ -69,6 +70,7 @@
     timed: bool = False
     stop_tried_at: float = -math.inf
     stop_answered: bool = False
+    seen: bool = False
 
     @property
     def key(self) -> tuple[TaskId, int]:
@@ -222,6 +224,11 @@
         """Return the incarnation's id."""
         return self.entry.worker_id
 
+    @property
+    def awaits_proof(self) -> bool:
+        """Tell whether a run was stopped of which the worker may list no end."""
+        return any(p.stop_answered and not p.seen for p in self.placements.values())
+
     @property
     def rack(self) -> str:
         """Return the rack, or an empty text."""
--- a/src/firladder/_internal/node/attendant.py
+++ b/src/firladder/_internal/node/attendant.py
@@ -103,6 +103,7 @@
         self._wake = asyncio.Event()
         self._orders: asyncio.Queue[Order] = asyncio.Queue()
         self._stopping: set[Placement] = set()
+        self._waits_for_end = False
 
     def wake(self) -> None:
         """Look again, if there is anything to look at."""
@@ -170,7 +171,7 @@
             # its lease must be renewed, and more may have ended.
             return
 
-    async def _look(self) -> bool:
+    async def _look(self, *, may_wait: bool = True) -> bool:
         worker, owner = self._worker, self._owner
         hold_s = leases.choose_hold(worker, hold_s=self._core.hold_s)
         sent_at = owner.clock.read_monotonic()
@@ -186,19 +187,19 @@
             # answer is looked at, and gets its lease when it does.
             deadline_s = None
         seen = worker.count_durable_ends()
-        waits = worker.claimed and worker.reachable and deadline_s is None
-        waits = waits and bool(worker.placements)
-        wait_s = LOOK_WAIT_S if waits else 0.0
-        if worker.entry.draining:
-            wait_s = min(wait_s, DRAINING_WAIT_S)
+        wait_s = self._choose_wait() if may_wait and deadline_s is None else 0.0
+        if wait_s:
+            self._waits_for_end = True
         answer = await owner.calls.look(
             worker.worker_id,
             worker.entry.address,
             acknowledged=seen,
             deadline_s=deadline_s,
             wait_s=wait_s,
-            timeout_s=wait_s + LOOK_SLACK_S if waits else QUICK_S,
+            timeout_s=wait_s + LOOK_SLACK_S if wait_s else QUICK_S,
         )
+        if wait_s:
+            self._waits_for_end = False
         now = owner.clock.read_monotonic()
         if isinstance(answer, WorkerReport):
             if grant:
@@ -214,6 +215,22 @@
         self._read_failure(answer, now)
         return False
 
+    def _choose_wait(self) -> float:
+        """Return for how long a look may wait for an end, in seconds."""
+        worker = self._worker
+        if not (worker.claimed and worker.reachable and worker.placements):
+            return 0.0
+        if worker.awaits_proof:
+            # Where nothing runs, nothing ends: the look would wait in vain, while
+            # the task whose absence it proves can be planned again.
+            return 0.0
+        return DRAINING_WAIT_S if worker.entry.draining else LOOK_WAIT_S
+
+    async def _prove_absence(self) -> None:
+        """Look beside the look that waits, where that one may wait in vain."""
+        if self._waits_for_end and self._worker.awaits_proof:
+            await self._look(may_wait=False)
+
     def _read_failure(self, answer: OrderFailure, now: float) -> None:
         worker = self._worker
         if isinstance(answer, FencedOff):
@@ -238,6 +255,8 @@
             else:
                 await self._stop(order)
                 self._stopping.discard(order.placement)
+            if self._orders.empty():
+                await self._prove_absence()
             self.wake()
             self._owner.note_change()
 
