Await answers of workers for as long as they take on the leader's link

Cause: the wait was fixed. A leader behind 2 Mbit/s with hundreds of orders to send has its answers after 0.4 s and more. Each order that it gave up cost a stop, a look, a record and the same order again, and an aborted connection, so that the link never became free.

The same orders from a leader with a fast link are answered in milliseconds.

The wait is now a smoothed round trip with its spread, as in RFC 6298, over all workers of a leader, between 0.35 and 1.4 s. A call that was given up goes on up to the longest wait, so that a late answer still teaches the timer, and its connection is kept. A worker that is silent teaches nothing: urgent work whose order is lost waits no longer than before on a fast link.

The constant of the shortest wait moves from the platform's folder, which decides nothing, to the timer; the scenario on lost orders reads it there.

--- a/features/node_orders.feature
+++ b/features/node_orders.feature
@@ -12,3 +12,15 @@
     Given a leader whose worker has one task at work
     When the start of another task is lost, and its stop is answered
     Then that task is ordered again within 0.3 s of the answer
+
+  Scenario: Work begins although all answers are late
+    Guards against a leader on a full link that gives up each order before its answer.
+    Given a leader all of whose answers take 0.6 s
+    When a job of 6 tasks comes
+    Then all of them are at work within 5 s, none in more than its second run
+
+  Scenario: Silent workers do not make the answers of others awaited for longer
+    Guards against urgent work that waits for long because other orders were lost.
+    Given a leader whose worker runs 8 tasks and falls silent
+    When all of them are to be stopped and nothing is heard for 6 s
+    Then the next answer is awaited for 0.35 s
--- a/features/steps/engine_lost_orders_steps.py
+++ b/features/steps/engine_lost_orders_steps.py
@@ -4,8 +4,8 @@
 
 from features.support.engine_world import EngineWorld, make_job, make_step
 from firladder._internal.exceptions import SentUnanswered
+from firladder._internal.node.answer_timer import SHORTEST_S as ORDER_TIMEOUT_S
 from firladder._internal.node.term import TICK_S
-from firladder._internal.platform.workers import ORDER_TIMEOUT_S
 
 ANSWER_S = 0.01
 LOST = SentUnanswered(reason="no answer")
--- a/features/steps/node_order_steps.py
+++ b/features/steps/node_order_steps.py
@@ -77,3 +77,27 @@
     stop = next(s for s in sent if s.kind == "stop")
     again = next(s for s in sent if s.kind == "start" and s.run == 2)
     assert again.at - stop.at <= calls.answer_s + seconds, sent
+
+
+@given("a leader all of whose answers take {seconds:f} s")
+def delay_answers(context, seconds):
+    context.leader = AttendedWorkers(2)
+    context.leader.calls.answer_s = seconds
+
+
+@when("a job of 6 tasks comes")
+def submit_six(context):
+    context.leader.engine.submit(make_job("six", make_step(6, 2)))
+    play(context.leader.lead(5.0))
+
+
+@then("all of them are at work within 5 s, none in more than its second run")
+def check_begun(context):
+    units = context.leader.core.jobs["six"].units
+    assert all(unit.working and unit.run <= 2 for unit in units), units
+
+
+@then("the next answer is awaited for {seconds:f} s")
+def check_wait(context, seconds):
+    timer = context.leader.answer_timer
+    assert timer.timeout_s == seconds, timer.timeout_s
--- a/features/support/fake_workers.py
+++ b/features/support/fake_workers.py
@@ -1,12 +1,18 @@
 """Workers that answer orders and looks as a scenario says, on a virtual clock."""
 
 import asyncio
+import contextlib
 import dataclasses
 
 from features.support.engine_world import EngineWorld
 from features.support.virtual_time import LoopClock
 from firladder._internal.exceptions import SentUnanswered
-from firladder._internal.models.order import RunningTask, WorkerReport
+from firladder._internal.models.order import (
+    EndedTask,
+    RunningTask,
+    WorkerReport,
+)
+from firladder._internal.node.answer_timer import AnswerTimer
 from firladder._internal.node.attendant import Attendant
 
 NO_ANSWER = SentUnanswered(reason="no answer")
@@ -23,58 +29,78 @@
 
 
 class FakeWorkerCalls:
-    """Answers after ``answer_s``; the calls whose turn is in ``lost`` get none.
+    """Answers after ``answer_s``; the next calls of the kinds in ``lost`` get none.
 
-    A lost order is never carried out, unless ``lost_take_effect``.
+    A lost order is never carried out.
     """
 
     def __init__(self, answer_s: float = 0.01) -> None:
         self.answer_s = answer_s
         self.lost: list[str] = []
-        self.lost_take_effect = False
         self.silent = False
         self.running: dict = {}
+        self.ended: dict[str, list[EndedTask]] = {}
+        self._end_listed = asyncio.Event()
         self.barred: dict = {}
         self.sent: list[Sent] = []
 
-    def count(self, kind: str) -> int:
-        return sum(s.kind == kind for s in self.sent)
-
-    async def start(self, order, *, deadline_s, **limits):
+    async def start(self, order, *, deadline_s, timeout_s):
         self._note("start", order)
-        if await self._lose("start", limits):
-            if self.lost_take_effect:
-                self._begin(order)
-            return NO_ANSWER
-        self._begin(order)
-        return self._now()
+        return await self._carry_out("start", order, timeout_s)
 
-    async def stop(self, order, **limits):
+    async def stop(self, order, *, timeout_s):
         self._note("stop", order)
-        if await self._lose("stop", limits):
-            return NO_ANSWER
-        self.barred[order.task] = max(order.run, self.barred.get(order.task, 0))
-        self.running.pop((order.task, order.run), None)
-        return self._now()
+        return await self._carry_out("stop", order, timeout_s)
 
     async def look(self, worker_id, address, *, wait_s, timeout_s, **fields):
         self.sent.append(Sent(self._now(), "look"))
-        if await self._lose("look", {"timeout_s": timeout_s}):
+        if await self._lose("look", timeout_s):
             return NO_ANSWER
-        await asyncio.sleep(wait_s)
-        rows = tuple(RunningTask(t, r, "", 10.0) for t, r in self.running)
-        return WorkerReport(self._now(), rows, ())
-
-    def _begin(self, order) -> None:
-        if order.run > self.barred.get(order.task, 0):
+        began = self._now()
+        await asyncio.sleep(self.answer_s / 2)
+        await self._await_end(worker_id, fields["acknowledged"], wait_s)
+        rows = tuple(
+            RunningTask(task, run, "", 10.0)
+            for (task, run), order in self.running.items()
+            if order.worker_id == worker_id
+        )
+        ends = self._list_ends(worker_id, fields["acknowledged"])
+        report = WorkerReport(self._now(), rows, ends)
+        await asyncio.sleep(self.answer_s / 2)
+        return report if self._now() - began <= timeout_s else NO_ANSWER
+
+    def _list_ends(self, worker_id: str, seen: int) -> tuple[EndedTask, ...]:
+        return tuple(e for e in self.ended.get(worker_id, ()) if e.number > seen)
+
+    async def _await_end(self, worker_id: str, seen: int, wait_s: float) -> None:
+        until = self._now() + wait_s
+        while self._now() < until and not self._list_ends(worker_id, seen):
+            self._end_listed.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._end_listed.wait(), until - self._now())
+
+    def _end(self, order) -> None:
+        ends = self.ended.setdefault(order.worker_id, [])
+        number = len(ends) + 1
+        ends.append(EndedTask(number, order.task, order.run, "stopped", ""))
+        self._end_listed.set()
+
+    async def _carry_out(self, kind, order, timeout_s):
+        if await self._lose(kind, timeout_s):
+            return NO_ANSWER
+        await asyncio.sleep(self.answer_s / 2)
+        if kind == "stop":
+            self.barred[order.task] = max(order.run, self.barred.get(order.task, 0))
+            if self.running.pop((order.task, order.run), None) is not None:
+                self._end(order)
+        elif order.run > self.barred.get(order.task, 0):
             self.running[order.task, order.run] = order
+        await asyncio.sleep(self.answer_s / 2)
+        return self._now() if self.answer_s <= timeout_s else NO_ANSWER
 
-    async def _lose(self, kind: str, limits: dict) -> bool:
-        timeout_s = limits.get("timeout_s", 0.35)
+    async def _lose(self, kind: str, timeout_s: float) -> bool:
         if not self.silent and kind not in self.lost:
-            lost = self.answer_s > timeout_s
-            await asyncio.sleep(min(self.answer_s, timeout_s))
-            return lost
+            return False
         if not self.silent:
             self.lost.remove(kind)
         await asyncio.sleep(timeout_s)
@@ -103,6 +129,7 @@
         self.engine = EngineWorld(workers)
         self.core = self.engine.core
         self.calls = FakeWorkerCalls()
+        self.answer_timer = AnswerTimer()
         self.may_renew = True
         self.attendants: dict[str, Attendant] = {}
         self.waits: list[float] = []
@@ -111,6 +138,9 @@
     def note_change(self) -> None:
         self._changed.set()
 
+    def spawn(self, work, *, name: str):
+        return asyncio.create_task(work, name=name)
+
     def step_down(self, reason: str) -> None:
         raise AssertionError(reason)
 
--- a/src/firladder/_internal/node/attendant.py
+++ b/src/firladder/_internal/node/attendant.py
@@ -3,7 +3,8 @@
 import asyncio
 import dataclasses
 import logging
-from typing import Protocol
+from collections.abc import Coroutine
+from typing import Any, Protocol, TypeVar
 
 from ..engine import leases
 from ..engine.core import Core
@@ -13,15 +14,19 @@
     NotSent,
     OrderFailure,
     OrderRejected,
+    SentUnanswered,
     WorkerRefused,
     WorkerReplaced,
 )
 from ..models.order import WorkerReport
 from ..platform.workers import WorkerCalls
 from ..utils.clocks import Clock
+from .answer_timer import LONGEST_S, AnswerTimer
 
 logger = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
 LOOK_WAIT_S = 2.0
 """Seconds that a look waits for an end; each look is priced, and the platform
 lets it wait no longer."""
@@ -30,10 +35,10 @@
 """The same at a worker that drains, whose leases are short."""
 
 LOOK_SLACK_S = 0.5
-"""Seconds beyond that until a look's connection counts as silent."""
+"""Seconds beyond that, at least, until a look's connection counts as silent."""
 
 QUICK_S = 0.6
-"""Seconds for the answer to a look that does not wait."""
+"""Seconds, at least, for the answer to a look that does not wait."""
 
 LOOK_AGAIN_S = 0.25
 """Seconds until a failed look is repeated; it doubles up to one of the next two."""
@@ -77,6 +82,7 @@
     core: Core
     calls: WorkerCalls
     clock: Clock
+    answer_timer: AnswerTimer
 
     @property
     def may_renew(self) -> bool:
@@ -88,6 +94,9 @@
     def note_order(self, kind: str, waited_s: float, took_s: float) -> None:
         """Count an order that waited for others and was then sent."""
 
+    def spawn(self, work: Coroutine[Any, Any, T], *, name: str) -> asyncio.Task[T]:
+        """Run ``work`` until it ends, or the term does."""
+
     def step_down(self, reason: str) -> None:
         """End the term."""
 
@@ -196,11 +205,11 @@
             acknowledged=seen,
             deadline_s=deadline_s,
             wait_s=wait_s,
-            timeout_s=wait_s + LOOK_SLACK_S if wait_s else QUICK_S,
+            timeout_s=self._choose_look_timeout(wait_s),
         )
+        now = owner.clock.read_monotonic()
         if wait_s:
             self._waits_for_end = False
-        now = owner.clock.read_monotonic()
         if isinstance(answer, WorkerReport):
             if grant:
                 leases.note_grant_answered(
@@ -226,6 +235,36 @@
             return 0.0
         return DRAINING_WAIT_S if worker.entry.draining else LOOK_WAIT_S
 
+    def _choose_look_timeout(self, wait_s: float) -> float:
+        usual_s = self._owner.answer_timer.timeout_s
+        return wait_s + max(LOOK_SLACK_S if wait_s else QUICK_S, usual_s)
+
+    async def _await_answer(
+        self, call: Coroutine[Any, Any, float | OrderFailure]
+    ) -> float | OrderFailure:
+        """Return the answer to an order, or that it did not come in time.
+
+        The call goes on for a while: how late its answer is tells for how long the
+        next ones are to be awaited.
+        """
+        owner = self._owner
+        sent_at = owner.clock.read_monotonic()
+        task = owner.spawn(call, name=f"order-{self._worker.worker_id}")
+        task.add_done_callback(lambda _: self._time_answer(task, sent_at))
+        await asyncio.wait((task,), timeout=owner.answer_timer.timeout_s)
+        if task.done():
+            return task.result()
+        return SentUnanswered(reason="timed out before the answer")
+
+    def _time_answer(
+        self, task: "asyncio.Task[float | OrderFailure]", sent_at: float
+    ) -> None:
+        if task.cancelled() or task.exception() is not None:
+            return
+        if isinstance(task.result(), float | OrderRejected):
+            took_s = self._owner.clock.read_monotonic() - sent_at
+            self._owner.answer_timer.note_answer(took_s)
+
     async def _prove_absence(self) -> None:
         """Look beside the look that waits, where that one may wait in vain."""
         if self._waits_for_end and self._worker.awaits_proof:
@@ -273,9 +312,12 @@
             self._core.read_start(placement, dropped, sent_at)
             return
         grant = leases.note_grant_sent(worker, now=sent_at, hold_s=hold_s)
-        answer = await owner.calls.start(
-            self._core.describe_start(placement), deadline_s=deadline_s
+        call = owner.calls.start(
+            self._core.describe_start(placement),
+            deadline_s=deadline_s,
+            timeout_s=LONGEST_S,
         )
+        answer = await self._await_answer(call)
         now = owner.clock.read_monotonic()
         self._note_answer(order, answer, sent_at=sent_at, now=now)
         if isinstance(answer, float | OrderRejected):
@@ -298,7 +340,8 @@
         if placement.stop_answered:
             return
         sent_at = owner.clock.read_monotonic()
-        answer = await owner.calls.stop(stop)
+        call = owner.calls.stop(stop, timeout_s=LONGEST_S)
+        answer = await self._await_answer(call)
         now = owner.clock.read_monotonic()
         self._note_answer(order, answer, sent_at=sent_at, now=now)
         if isinstance(answer, FencedOff):
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -3,7 +3,8 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
 
 from ..engine.core import Core
 from ..engine.leases import BLIND_S
@@ -24,6 +25,7 @@
 from ..utils.clocks import Clock
 from ..utils.events import Event, Timeline
 from ..utils.tasks import TaskSet
+from .answer_timer import AnswerTimer
 from .attendant import Attendant
 from .election import Leadership
 from .evacuations import Evacuations
@@ -33,6 +35,8 @@
 
 logger = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
 ObserveOrder = Callable[[str, float, float], None]
 """Takes an order's kind, how long it waited for others, and how long its answer took,
 both in seconds."""
@@ -83,6 +87,7 @@
         self.too_slow = False
         self.core = Core(hold_s=settings.max_hold_s, note=self._note)
         self.calls = calls
+        self.answer_timer = AnswerTimer()
         self.clock = clock
         self.leadership = leadership
         self._store = store
@@ -126,6 +131,10 @@
         if not self._ended.done():
             self._ended.set_result(reason)
 
+    def spawn(self, work: Coroutine[Any, Any, T], *, name: str) -> asyncio.Task[T]:
+        """Run ``work`` until it ends, or the term does."""
+        return self._tasks.spawn(work, name=name)
+
     def note_change(self) -> None:
         """Plan and write what an event has changed, soon."""
         self._change.set()
--- a/src/firladder/_internal/platform/workers.py
+++ b/src/firladder/_internal/platform/workers.py
@@ -28,11 +28,6 @@
 
 logger = logging.getLogger(__name__)
 
-ORDER_TIMEOUT_S = 0.35
-"""Seconds for the answer to an order; workers answer within milliseconds. An order that
-was lost is taken back before its task is planned again, and urgent work has little more
-than a second to spare: awaited for a whole second, each lost order makes it late."""
-
 MAX_WAIT_S = 2.0
 """Seconds that a worker waits at most for an end before it answers a look."""
 
@@ -81,12 +76,12 @@
         self.calls = 0
 
     async def start(
-        self, order: StartOrder, *, deadline_s: float
+        self, order: StartOrder, *, deadline_s: float, timeout_s: float
     ) -> float | OrderFailure:
         """Begin a task; return the worker's clock in seconds.
 
         ``deadline_s`` is the time on that clock until which all that runs on
-        the worker may go on.
+        the worker may go on; the answer is awaited for ``timeout_s``.
         """
         body: dict[str, Any] = {
             "task": format_task(order.task),
@@ -97,16 +92,20 @@
         }
         if order.checkpoint:
             body["checkpoint"] = order.checkpoint
-        return await self._order(order.worker_id, order.address, "/-/run-start", body)
+        return await self._order(
+            order.worker_id, order.address, "/-/run-start", body, timeout_s
+        )
 
-    async def stop(self, order: StopOrder) -> float | OrderFailure:
+    async def stop(self, order: StopOrder, *, timeout_s: float) -> float | OrderFailure:
         """End a run; a run that is not there is rejected when it comes later."""
         body = {
             "task": format_task(order.task),
             "run": order.run,
             "fencing_token": self.token,
         }
-        return await self._order(order.worker_id, order.address, "/-/run-stop", body)
+        return await self._order(
+            order.worker_id, order.address, "/-/run-stop", body, timeout_s
+        )
 
     async def look(
         self,
@@ -143,9 +142,14 @@
             return SentUnanswered(reason=f"unreadable report: {error}")
 
     async def _order(
-        self, worker_id: str, address: str, path: str, body: dict[str, Any]
+        self,
+        worker_id: str,
+        address: str,
+        path: str,
+        body: dict[str, Any],
+        timeout_s: float,
     ) -> float | OrderFailure:
-        answer = await self._call(worker_id, address, path, body, ORDER_TIMEOUT_S)
+        answer = await self._call(worker_id, address, path, body, timeout_s)
         if not isinstance(answer, HttpAnswer):
             return answer
         try:
