Send a start again when it has no answer, instead of giving the run up

A worker knows a run that it has begun by its number, so that the same start, with the same number and the same lease, can be sent again: up to three times.

What makes it safe: only an answer that the run is there settles a repeated start. That another copy was turned away, rejected or never left says nothing of the one before it, which may begin seconds later; such a run is stopped and proved over as one without any answer. The lease of all copies ends at the same time on the worker's own clock, so that a late copy lengthens nothing. The random histories of the core now repeat starts too.

The scenario of a gang that loses four of its first starts failed before: it was stopped and planned again.

--- a/features/engine_lost_orders.feature
+++ b/features/engine_lost_orders.feature
@@ -12,3 +12,15 @@
       | stops |
       | 0     |
       | 1     |
+
+  Scenario Outline: No answer to a repeated start proves that the first copy does not begin
+    Guards against a task that runs twice because a late copy of its start was forgotten.
+    Given an urgent job of 2.5 s that is ordered at once
+    When the order gets no answer, and its repetition <answer>
+    Then the task is not ordered again before its stop is answered and it is not listed
+
+    Examples:
+      | answer               |
+      | is turned away       |
+      | does not leave       |
+      | is rejected for room |
--- a/features/node_orders.feature
+++ b/features/node_orders.feature
@@ -24,3 +24,9 @@
     Given a leader whose worker runs 8 tasks and falls silent
     When all of them are to be stopped and nothing is heard for 6 s
     Then the next answer is awaited for 0.35 s
+
+  Scenario: A gang begins although some of its starts are lost
+    Guards against gangs that never begin while a share of the orders has no answer.
+    Given a leader of 8 workers, of whose next orders 4 are lost
+    When a gang of 8 comes, one task for each worker
+    Then the gang is at work within 1.5 s, in its first run
--- a/features/steps/engine_lost_orders_steps.py
+++ b/features/steps/engine_lost_orders_steps.py
@@ -3,13 +3,24 @@
 from behave import given, then, when
 
 from features.support.engine_world import EngineWorld, make_job, make_step
-from firladder._internal.exceptions import SentUnanswered
+from firladder._internal.exceptions import (
+    NotSent,
+    OrderRejected,
+    SentUnanswered,
+    WorkerRefused,
+)
 from firladder._internal.node.answer_timer import SHORTEST_S as ORDER_TIMEOUT_S
 from firladder._internal.node.term import TICK_S
 
 ANSWER_S = 0.01
 LOST = SentUnanswered(reason="no answer")
 
+REPETITIONS = {
+    "is turned away": WorkerRefused(reason="503"),
+    "does not leave": NotSent(reason="cannot connect"),
+    "is rejected for room": OrderRejected(reason="409 room", rejection="no_room"),
+}
+
 
 @given("an urgent job of {takes:f} s that is ordered at once")
 def order(context, takes):
@@ -51,3 +62,26 @@
     again = engine.start_all()
     assert [p.run for p in again] == [2], again
     assert engine.now < context.until, (engine.now, context.until)
+
+
+@when("the order gets no answer, and its repetition {answer}")
+def repeat_start(context, answer):
+    engine, placement = context.engine, context.placement
+    engine.now += ORDER_TIMEOUT_S
+    placement.may_begin_late = True
+    engine.core.read_start(placement, REPETITIONS[answer], engine.now)
+
+
+@then("the task is not ordered again before its stop is answered and it is not listed")
+def check_proof(context):
+    engine, placement = context.engine, context.placement
+    worker = engine.core.workers[placement.worker_id]
+    assert engine.core.take_stops(engine.now) == [placement]
+    engine.now += ANSWER_S
+    engine.report(worker)
+    assert engine.start_all() == []
+    engine.core.read_stop(placement, engine.now, engine.now)
+    engine.now += ANSWER_S
+    engine.report(worker)
+    engine.make_durable()
+    assert [p.run for p in engine.start_all()] == [2]
--- a/features/steps/node_order_steps.py
+++ b/features/steps/node_order_steps.py
@@ -101,3 +101,21 @@
 def check_wait(context, seconds):
     timer = context.leader.answer_timer
     assert timer.timeout_s == seconds, timer.timeout_s
+
+
+@given("a leader of {workers:d} workers, of whose next orders {lost:d} are lost")
+def lose_some(context, workers, lost):
+    context.leader = AttendedWorkers(workers)
+    context.leader.calls.lost = ["start"] * lost
+
+
+@when("a gang of {count:d} comes, one task for each worker")
+def submit_gang(context, count):
+    context.leader.engine.submit(make_job("gang", make_step(count, gang=True)))
+
+
+@then("the gang is at work within {seconds:f} s, in its first run")
+def check_gang(context, seconds):
+    play(context.leader.lead(seconds))
+    unit = context.leader.engine.find_unit("gang")
+    assert unit.working and unit.run == 1, (unit.run, unit.placements)
--- a/features/support/engine_chaos.py
+++ b/features/support/engine_chaos.py
@@ -110,11 +110,14 @@
         until = world.now + HOLD_S
         grant = leases.note_grant_sent(worker, now=world.now, hold_s=HOLD_S)
         answer: object = self.deliver(placement, order, until, stop=False)
+        while isinstance(answer, SentUnanswered) and self.rng.random() < 0.7:
+            placement.may_begin_late = True
+            answer = self.deliver(placement, order, until, stop=False)
         if isinstance(answer, float | OrderRejected):
             leases.note_grant_answered(
                 worker, grant, sent_at=world.now, now=world.now, hold_s=HOLD_S
             )
-        elif isinstance(answer, NotSent):
+        elif isinstance(answer, NotSent) and not placement.may_begin_late:
             leases.note_grant_dropped(worker, grant)
         world.core.read_start(placement, answer, world.now)
 
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -208,7 +208,10 @@
                 self._end_run_of(placement)
             return
         self._judge_refusal(worker, placement, answer, now)
-        self._resolve(worker, placement, None)
+        if not placement.may_begin_late:
+            self._resolve(worker, placement, None)
+        elif placement.phase is Phase.SENT:
+            self._end_run_of(placement)
 
     def _judge_refusal(
         self,
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -53,7 +53,9 @@
     later and does not list the task proves that it is not there. ``whole`` says that it
     began under this leader and from nothing, so that its times can be learned from;
     ``timed`` that moreover its worker's speed was not read from it yet. ``seen`` says
-    that the worker has shown the run, so that it will list its end.
+    that the worker has shown the run, so that it will list its end; ``may_begin_late``
+    that a copy of its start had no answer, so that no answer to another copy proves
+    that it does not begin.
     """
 
     unit: "Unit | None"
@@ -71,6 +73,7 @@
     stop_tried_at: float = -math.inf
     stop_answered: bool = False
     seen: bool = False
+    may_begin_late: bool = False
 
     @property
     def key(self) -> tuple[TaskId, int]:
--- a/src/firladder/_internal/node/attendant.py
+++ b/src/firladder/_internal/node/attendant.py
@@ -49,6 +49,11 @@
 """The most while runs of ours may go on there. After a cut their leases have a second
 or two left: a look that comes later finds a gang's work lost."""
 
+START_TRIES = 3
+"""Times that a start is sent until it counts as lost. Workers know a run that they have
+begun by its number; given up after one try, a gang of a dozen seldom begins while each
+fifth order is lost."""
+
 DURABLE_WAIT_S = 0.25
 """Seconds for which a look is put off until the ends that were read are durable:
 a worker answers at once while it has ends that nobody acknowledged."""
@@ -312,26 +317,41 @@
             self._core.read_start(placement, dropped, sent_at)
             return
         grant = leases.note_grant_sent(worker, now=sent_at, hold_s=hold_s)
-        call = owner.calls.start(
-            self._core.describe_start(placement),
-            deadline_s=deadline_s,
-            timeout_s=LONGEST_S,
-        )
-        answer = await self._await_answer(call)
+        for _ in range(START_TRIES):
+            answer = await self._send_start(order, deadline_s)
+            if not isinstance(answer, SentUnanswered):
+                break
+            placement.may_begin_late = True
+            if placement.phase is not Phase.SENT or self._gone:
+                break
         now = owner.clock.read_monotonic()
-        self._note_answer(order, answer, sent_at=sent_at, now=now)
         if isinstance(answer, float | OrderRejected):
-            # A rejected start may still have lengthened the lease.
+            # A rejected start may still have lengthened the lease. All copies carry
+            # the same time, so that a late one does not lengthen it any more.
             leases.note_grant_answered(
                 worker, grant, sent_at=sent_at, now=now, hold_s=hold_s
             )
-        elif isinstance(answer, NotSent | WorkerRefused):
+        elif not placement.may_begin_late and not isinstance(answer, SentUnanswered):
             leases.note_grant_dropped(worker, grant)
         if isinstance(answer, FencedOff):
             owner.step_down("a worker knows a higher fencing token")
             return
         self._core.read_start(placement, answer, now)
 
+    async def _send_start(
+        self, order: Order, deadline_s: float
+    ) -> float | OrderFailure:
+        sent_at = self._owner.clock.read_monotonic()
+        call = self._owner.calls.start(
+            self._core.describe_start(order.placement),
+            deadline_s=deadline_s,
+            timeout_s=LONGEST_S,
+        )
+        answer = await self._await_answer(call)
+        now = self._owner.clock.read_monotonic()
+        self._note_answer(order, answer, sent_at=sent_at, now=now)
+        return answer
+
     async def _stop(self, order: Order) -> None:
         owner, placement = self._owner, order.placement
         stop = self._core.describe_stop(placement)
