Free a run at once that was given up before its start left

What the leader itself has not sent is nowhere. When such a start comes up to be sent, or is taken for sending, the run is over. Orders to one worker leave in order, so that its stop is then found needless.

--- a/features/steps/engine_lost_orders_steps.py
+++ b/features/steps/engine_lost_orders_steps.py
@@ -85,3 +85,19 @@
     engine.report(worker)
     engine.make_durable()
     assert [p.run for p in engine.start_all()] == [2]
+
+
+@when("it is given up while its start still waits to be sent")
+def give_up_unsent(context):
+    engine, placement = context.engine, context.placement
+    engine.core.evict(placement.unit)
+    engine.core.drop_unsent(placement)
+
+
+@then("its room is free without a stop or a look")
+def check_free(context):
+    engine, placement = context.engine, context.placement
+    worker = engine.core.workers[placement.worker_id]
+    assert worker.free == worker.entry.capacity, worker.placements
+    assert engine.core.take_stops(engine.now) == []
+    assert [p.run for p in engine.start_all()] == [2]
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -146,8 +146,21 @@
     def take_starts(self) -> list[Placement]:
         """Return the starts that are durable and not sent yet."""
         starts, self.starts = self.starts, []
+        for placement in starts:
+            self.drop_unsent(placement)
         return [p for p in starts if p.phase is Phase.SENT]
 
+    def drop_unsent(self, placement: Placement) -> None:
+        """Free a run that was given up before its start left.
+
+        Nothing of it can be anywhere: neither a stop nor a look is needed to tell.
+        """
+        worker = self.workers.get(placement.worker_id)
+        if worker is None or placement.key not in worker.placements:
+            return
+        if placement.phase is Phase.STOPPING:
+            self._resolve(worker, placement, None)
+
     def take_stops(self, now: float) -> list[Placement]:
         """Return the stops to be sent now, repeated ones included."""
         self.stops.clear()
--- a/src/firladder/_internal/node/attendant.py
+++ b/src/firladder/_internal/node/attendant.py
@@ -306,7 +306,10 @@
 
     async def _start(self, order: Order) -> None:
         worker, owner, placement = self._worker, self._owner, order.placement
-        if placement.phase is not Phase.SENT or self._gone:
+        if placement.phase is not Phase.SENT:
+            self._core.drop_unsent(placement)
+            return
+        if self._gone:
             return
         hold_s = self._core.hold_s
         sent_at = owner.clock.read_monotonic()
