Let starts wait for a worker that has missed one call

Cause: a worker that misses one call counts as out of reach, and no lease may be sent to it, for nobody could tell when one ends that arrives late. Starts that came up meanwhile were dropped, with the gangs they belonged to. And when an order had no answer while a look waited for an end, nobody asked the worker again until that look came back, up to two seconds later.

Now a worker is asked at once beside a look that waits, and starts wait until it has answered, for half a second after the call that it missed at most. A lease is still sent only to a worker that has answered since, and whose record is corrected.

--- a/features/node_orders.feature
+++ b/features/node_orders.feature
@@ -30,3 +30,9 @@
     Given a leader of 8 workers, of whose next orders 4 are lost
     When a gang of 8 comes, one task for each worker
     Then the gang is at work within 1.5 s, in its first run
+
+  Scenario: Starts wait for a worker that has missed one call
+    Guards against a lost order that ends all other runs planned on its worker.
+    Given a leader whose worker has one task at work
+    When a stop for it is lost, and a job of 4 tasks comes
+    Then all 4 are at work within 1 s, in their first run
--- a/features/steps/node_order_steps.py
+++ b/features/steps/node_order_steps.py
@@ -119,3 +119,29 @@
     play(context.leader.lead(seconds))
     unit = context.leader.engine.find_unit("gang")
     assert unit.working and unit.run == 1, (unit.run, unit.placements)
+
+
+@when("a stop for it is lost, and a job of 4 tasks comes")
+def lose_stop(context):
+    leader = context.leader
+
+    async def lose():
+        leading = asyncio.create_task(leader.lead(3.0))
+        await asyncio.sleep(1.0)
+        leader.calls.lost = ["stop"]
+        leader.core.cancel_job("long")
+        leader.note_change()
+        # The stop has left, and has no answer when the job's starts come up.
+        await asyncio.sleep(0.2)
+        leader.engine.submit(make_job("four", make_step(4, 1)))
+        leader.note_change()
+        await asyncio.sleep(1.0)
+        context.units = [(u.working, u.run) for u in leader.core.jobs["four"].units]
+        await leading
+
+    play(lose())
+
+
+@then("all 4 are at work within 1 s, in their first run")
+def check_first_runs(context):
+    assert context.units == [(True, 1)] * 4, context.units
--- a/src/firladder/_internal/node/attendant.py
+++ b/src/firladder/_internal/node/attendant.py
@@ -54,6 +54,11 @@
 begun by its number; given up after one try, a gang of a dozen seldom begins while each
 fifth order is lost."""
 
+REACH_WAIT_S = 0.5
+"""Seconds after a call without an answer for which starts wait until the worker has
+answered again. Dropped at once, one lost order would end all runs that are planned
+there, and the gangs that they belong to."""
+
 DURABLE_WAIT_S = 0.25
 """Seconds for which a look is put off until the ends that were read are durable:
 a worker answers at once while it has ends that nobody acknowledged."""
@@ -118,10 +123,12 @@
         self._orders: asyncio.Queue[Order] = asyncio.Queue()
         self._stopping: set[Placement] = set()
         self._waits_for_end = False
+        self._may_be_granted = asyncio.Event()
 
     def wake(self) -> None:
         """Look again, if there is anything to look at."""
         self._wake.set()
+        self._may_be_granted.set()
 
     def order(self, placement: Placement, *, start: bool) -> None:
         """Send a start or a stop after the orders before it.
@@ -270,9 +277,10 @@
             took_s = self._owner.clock.read_monotonic() - sent_at
             self._owner.answer_timer.note_answer(took_s)
 
-    async def _prove_absence(self) -> None:
+    async def _look_beside(self) -> None:
         """Look beside the look that waits, where that one may wait in vain."""
-        if self._waits_for_end and self._worker.awaits_proof:
+        worker = self._worker
+        if self._waits_for_end and (worker.awaits_proof or not worker.reachable):
             await self._look(may_wait=False)
 
     def _read_failure(self, answer: OrderFailure, now: float) -> None:
@@ -299,13 +307,14 @@
             else:
                 await self._stop(order)
                 self._stopping.discard(order.placement)
-            if self._orders.empty():
-                await self._prove_absence()
+            if self._orders.empty() or not self._worker.reachable:
+                await self._look_beside()
             self.wake()
             self._owner.note_change()
 
     async def _start(self, order: Order) -> None:
         worker, owner, placement = self._worker, self._owner, order.placement
+        await self._await_reach()
         if placement.phase is not Phase.SENT:
             self._core.drop_unsent(placement)
             return
@@ -341,6 +350,19 @@
             return
         self._core.read_start(placement, answer, now)
 
+    async def _await_reach(self) -> None:
+        """Wait until a lease may be granted, if a call was lost only just now."""
+        worker, clock = self._worker, self._owner.clock
+        until = worker.unreachable_at + REACH_WAIT_S
+        while not (worker.may_be_granted or self._gone):
+            left_s = until - clock.read_monotonic()
+            if left_s <= 0:
+                return
+            self._may_be_granted.clear()
+            event = asyncio.ensure_future(self._may_be_granted.wait())
+            await asyncio.wait((event,), timeout=left_s)
+            event.cancel()
+
     async def _send_start(
         self, order: Order, deadline_s: float
     ) -> float | OrderFailure:
