Send urgent starts and stops before other starts to a worker

Cause: orders to one worker left in the order in which they were decided. On a slow link each takes a few tenths of a second, so that an urgent start, and the stop that makes its room, waited for all lower starts before them.

Urgent starts now go first, then stops, then other starts; within each kind in their order as before. A stop could then leave before the start that it belongs to, so that a run whose start still waits is dropped without any order. Both scenarios fail without their part.

--- a/features/node_orders.feature
+++ b/features/node_orders.feature
@@ -36,3 +36,15 @@
     Given a leader whose worker has one task at work
     When a stop for it is lost, and a job of 4 tasks comes
     Then all 4 are at work within 1 s, in their first run
+
+  Scenario: Urgent work does not wait behind other starts to its worker
+    Guards against urgent starts and stops that are sent after all lower starts.
+    Given a leader of one worker, all of whose answers take 0.3 s
+    When a job of 6 small tasks is ordered, and an urgent one 0.1 s later
+    Then the urgent one is at work before 3 of the small tasks are
+
+  Scenario: A run whose start has not left is not stopped over the network
+    Guards against stops that overtake the starts that they belong to.
+    Given a leader of one worker, all of whose answers take 0.3 s
+    When a job of 6 small tasks is ordered, and cancelled 0.1 s later
+    Then only its first task was ordered, and no other was stopped
--- a/features/steps/node_order_steps.py
+++ b/features/steps/node_order_steps.py
@@ -80,11 +80,16 @@
 
 
 @given("a leader all of whose answers take {seconds:f} s")
-def delay_answers(context, seconds):
-    context.leader = AttendedWorkers(2)
+def delay_answers(context, seconds, workers=2):
+    context.leader = AttendedWorkers(workers)
     context.leader.calls.answer_s = seconds
 
 
+@given("a leader of one worker, all of whose answers take {seconds:f} s")
+def delay_answers_of_one(context, seconds):
+    delay_answers(context, seconds, workers=1)
+
+
 @when("a job of 6 tasks comes")
 def submit_six(context):
     context.leader.engine.submit(make_job("six", make_step(6, 2)))
@@ -145,3 +150,49 @@
 @then("all 4 are at work within 1 s, in their first run")
 def check_first_runs(context):
     assert context.units == [(True, 1)] * 4, context.units
+
+
+@when("a job of 6 small tasks is ordered, and an urgent one 0.1 s later")
+def submit_urgent(context):
+    leader = context.leader
+
+    async def submit():
+        leading = asyncio.create_task(leader.lead(4.0))
+        leader.engine.submit(make_job("small", make_step(6, 1)))
+        await asyncio.sleep(0.1)
+        leader.engine.submit(make_job("urgent", make_step(1, 2), priority=0))
+        leader.note_change()
+        await leading
+
+    play(submit())
+
+
+@then("the urgent one is at work before 3 of the small tasks are")
+def check_order(context):
+    units = context.leader.core.jobs["small"].units
+    urgent = context.leader.engine.find_unit("urgent").active_since
+    earlier = [u for u in units if u.active_since and u.active_since < urgent]
+    assert urgent and len(earlier) < 3, (urgent, earlier)
+
+
+@when("a job of 6 small tasks is ordered, and cancelled 0.1 s later")
+def cancel_soon(context):
+    leader = context.leader
+
+    async def cancel():
+        leading = asyncio.create_task(leader.lead(4.0))
+        leader.engine.submit(make_job("small", make_step(6, 1)))
+        await asyncio.sleep(0.1)
+        leader.core.cancel_job("small")
+        leader.note_change()
+        await leading
+
+    play(cancel())
+
+
+@then("only its first task was ordered, and no other was stopped")
+def check_unsent(context):
+    sent = context.leader.calls.sent
+    started = {s.task for s in sent if s.kind == "start"}
+    assert len(started) == 1, started
+    assert {s.task for s in sent if s.kind == "stop"} <= started, sent
--- a/src/firladder/_internal/node/attendant.py
+++ b/src/firladder/_internal/node/attendant.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import dataclasses
+import enum
+import itertools
 import logging
 from collections.abc import Coroutine
 from typing import Any, Protocol, TypeVar
@@ -64,16 +66,27 @@
 a worker answers at once while it has ends that nobody acknowledged."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+class Rank(enum.IntEnum):
+    """Which of the orders that wait for a worker is sent first."""
+
+    URGENT_START = 0
+    STOP = 1
+    START = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
 class Order:
-    """A start or a stop that waits for the orders before it.
+    """A start or a stop that waits for its turn.
 
-    ``queued_at`` is the leader's own time, in seconds.
+    Of one rank, what was queued first goes first. ``queued_at`` is the leader's own
+    time, in seconds.
     """
 
-    placement: Placement
-    start: bool
-    queued_at: float
+    rank: Rank
+    number: int
+    placement: Placement = dataclasses.field(compare=False)
+    start: bool = dataclasses.field(compare=False)
+    queued_at: float = dataclasses.field(compare=False)
 
     @property
     def kind(self) -> str:
@@ -81,6 +94,15 @@
         return "start" if self.start else "stop"
 
 
+def rank_order(placement: Placement, *, start: bool) -> Rank:
+    """Return when an order is sent: urgent work first, then what makes room."""
+    if not start:
+        return Rank.STOP
+    unit = placement.unit
+    urgent = unit is not None and unit.job.accepted.priority == 0
+    return Rank.URGENT_START if urgent else Rank.START
+
+
 def lengthen_pause(pause_s: float, *, holds_runs: bool) -> float:
     """Return for how long to wait after one more failed look, in seconds."""
     return min(2 * pause_s, HELD_PAUSE_S if holds_runs else MOST_PAUSE_S)
@@ -120,7 +142,9 @@
         self._core = owner.core
         self._worker = worker
         self._wake = asyncio.Event()
-        self._orders: asyncio.Queue[Order] = asyncio.Queue()
+        self._orders: asyncio.PriorityQueue[Order] = asyncio.PriorityQueue()
+        self._numbers = itertools.count()
+        self._unsent: set[Placement] = set()
         self._stopping: set[Placement] = set()
         self._waits_for_end = False
         self._may_be_granted = asyncio.Event()
@@ -131,17 +155,25 @@
         self._may_be_granted.set()
 
     def order(self, placement: Placement, *, start: bool) -> None:
-        """Send a start or a stop after the orders before it.
+        """Send a start or a stop when its turn comes.
 
         A stop that still waits is not queued again: it is repeated more often than a
-        worker without answers takes one, and starts would wait behind all of them.
+        worker without answers takes one, and starts would wait behind all of them. One
+        whose start has not left is not needed.
         """
-        if not start:
-            if placement in self._stopping:
-                return
+        if start:
+            self._unsent.add(placement)
+        elif placement in self._unsent:
+            self._core.drop_unsent(placement)
+            self._owner.note_change()
+            return
+        elif placement in self._stopping:
+            return
+        else:
             self._stopping.add(placement)
         now = self._owner.clock.read_monotonic()
-        self._orders.put_nowait(Order(placement, start, now))
+        rank, number = rank_order(placement, start=start), next(self._numbers)
+        self._orders.put_nowait(Order(rank, number, placement, start, now))
 
     @property
     def waiting_orders(self) -> int:
@@ -315,6 +347,7 @@
     async def _start(self, order: Order) -> None:
         worker, owner, placement = self._worker, self._owner, order.placement
         await self._await_reach()
+        self._unsent.discard(placement)
         if placement.phase is not Phase.SENT:
             self._core.drop_unsent(placement)
             return
