Give an order up unsent when no connection to its worker comes in time

Calls that go on for a while to hear late answers also went on connecting: an order to a worker that is cut off no longer ended as "not sent" after 0.35 s, but had no answer as far as anyone knew. Its task then had to wait until the lease of an order that never left had surely ended, up to eighteen seconds, where it had begun elsewhere at once before.

An order that has not left when its answer would be given up never leaves, and says so. One that has left goes on as before. A start that a look has shown at work while its answer was awaited no longer marks its worker as out of reach. And starts behind a missed call wait as long as an answer may take, instead of half a second on every link.

--- a/features/network_answers.feature
+++ b/features/network_answers.feature
@@ -53,3 +53,10 @@
     When the listener finishes within 2 s
     Then the idle connection was closed before the call was answered
     And the call was answered
+
+  Scenario: A call that finds no connection in time never leaves
+    Guards against orders that are sent after they were given up for lack of a connection.
+    Given a server that takes no connections
+    When it is called with 0.3 s to leave and 1.4 s for the answer
+    Then the call ends "not_sent" within 0.6 s
+    And nothing arrives when the server takes connections again
--- a/features/node_orders.feature
+++ b/features/node_orders.feature
@@ -48,3 +48,9 @@
     Given a leader of one worker, all of whose answers take 0.3 s
     When a job of 6 small tasks is ordered, and cancelled 0.1 s later
     Then only its first task was ordered, and no other was stopped
+
+  Scenario: A start that found no connection is ordered elsewhere at once
+    Guards against tasks that wait for the lease of an order that never left.
+    Given a leader of 2 workers, one of which takes no connection
+    When a job of 8 small tasks comes
+    Then all of them are at work within 1 s
--- a/features/steps/network_answers_steps.py
+++ b/features/steps/network_answers_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import socket
 import time
 
@@ -7,6 +8,7 @@
 from firladder._internal.etcd.store import Snapshot, StoreClient
 from firladder._internal.exceptions import (
     AnswerTooLarge,
+    NotSent,
     SentUnanswered,
     StoreUncertain,
 )
@@ -91,6 +93,7 @@
         "sent_unanswered": SentUnanswered,
         "too_large": AnswerTooLarge,
         "answered": HttpAnswer,
+        "not_sent": NotSent,
     }
     assert isinstance(context.result, kinds[kind]), context.result
     assert context.spent_s <= seconds, context.spent_s
@@ -314,3 +317,44 @@
 @then("the call was answered")
 def check_answered(context):
     assert context.slow.answered_at is not None
+
+
+@given("a server that takes no connections")
+def start_full_server(context):
+    listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+    context.add_cleanup(listener.close)
+    context.listener = listener
+    address = listener.getsockname()
+    # The queue of new connections is full when one of these does not get through.
+    for _ in range(8):
+        filler = socket.socket()
+        context.add_cleanup(filler.close)
+        filler.settimeout(0.2)
+        try:
+            filler.connect(address)
+        except TimeoutError:
+            return
+    raise AssertionError("the queue never fills")
+
+
+@when("it is called with {leave:f} s to leave and {limit:f} s for the answer")
+def call_full_server(context, leave, limit):
+    context.http = HttpClient()
+    url = f"http://127.0.0.1:{context.listener.getsockname()[1]}/"
+    limits = {"send_within_s": leave, "timeout_s": limit}
+    began = time.monotonic()
+    call = context.http.call("POST", url, body=b"{}", **limits)
+    context.result = play(context, call)
+    context.spent_s = time.monotonic() - began
+
+
+@then("nothing arrives when the server takes connections again")
+def check_nothing(context):
+    context.listener.settimeout(1.5)
+    with contextlib.suppress(TimeoutError):
+        while True:
+            connection, _ = context.listener.accept()
+            connection.settimeout(0.3)
+            with contextlib.suppress(TimeoutError):
+                assert connection.recv(100) == b"", "a request arrived"
+            connection.close()
--- a/features/steps/node_order_steps.py
+++ b/features/steps/node_order_steps.py
@@ -196,3 +196,21 @@
     started = {s.task for s in sent if s.kind == "start"}
     assert len(started) == 1, started
     assert {s.task for s in sent if s.kind == "stop"} <= started, sent
+
+
+@given("a leader of {workers:d} workers, one of which takes no connection")
+def refuse_connections(context, workers):
+    context.leader = AttendedWorkers(workers)
+    context.leader.calls.refusing.add("w0")
+
+
+@when("a job of {count:d} small tasks comes")
+def submit_small(context, count):
+    context.leader.engine.submit(make_job("small", make_step(count, 1)))
+
+
+@then("all of them are at work within {seconds:d} s")
+def check_at_work(context, seconds):
+    play(context.leader.lead(float(seconds)))
+    units = context.leader.core.jobs["small"].units
+    assert all(unit.working for unit in units), units
--- a/features/support/fake_workers.py
+++ b/features/support/fake_workers.py
@@ -6,7 +6,7 @@
 
 from features.support.engine_world import EngineWorld
 from features.support.virtual_time import LoopClock
-from firladder._internal.exceptions import SentUnanswered
+from firladder._internal.exceptions import NotSent, SentUnanswered
 from firladder._internal.models.order import (
     EndedTask,
     RunningTask,
@@ -31,29 +31,36 @@
 class FakeWorkerCalls:
     """Answers after ``answer_s``; the next calls of the kinds in ``lost`` get none.
 
-    A lost order is never carried out.
+    A lost order is never carried out. Workers in ``refusing`` take no connection.
     """
 
     def __init__(self, answer_s: float = 0.01) -> None:
         self.answer_s = answer_s
         self.lost: list[str] = []
         self.silent = False
+        self.refusing: set[str] = set()
         self.running: dict = {}
         self.ended: dict[str, list[EndedTask]] = {}
         self._end_listed = asyncio.Event()
         self.barred: dict = {}
         self.sent: list[Sent] = []
 
-    async def start(self, order, *, deadline_s, timeout_s):
+    async def start(self, order, *, deadline_s, send_within_s, timeout_s):
         self._note("start", order)
+        if order.worker_id in self.refusing:
+            await asyncio.sleep(send_within_s)
+            return NotSent(reason="timed out before sending")
         return await self._carry_out("start", order, timeout_s)
 
-    async def stop(self, order, *, timeout_s):
+    async def stop(self, order, *, send_within_s, timeout_s):
         self._note("stop", order)
         return await self._carry_out("stop", order, timeout_s)
 
     async def look(self, worker_id, address, *, wait_s, timeout_s, **fields):
         self.sent.append(Sent(self._now(), "look"))
+        if worker_id in self.refusing:
+            await asyncio.sleep(timeout_s)
+            return NotSent(reason="timed out before sending")
         if await self._lose("look", timeout_s):
             return NO_ANSWER
         began = self._now()
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -75,6 +75,11 @@
     seen: bool = False
     may_begin_late: bool = False
 
+    @property
+    def at_work(self) -> bool:
+        """Tell whether the run is known to have begun, and not to be given up."""
+        return self.phase is Phase.ACTIVE
+
     @property
     def key(self) -> tuple[TaskId, int]:
         """Return the task and its run number."""
--- a/src/firladder/_internal/network/http_client.py
+++ b/src/firladder/_internal/network/http_client.py
@@ -203,6 +203,7 @@
         body: bytes = b"",
         headers: dict[str, str] | None = None,
         timeout_s: float,
+        send_within_s: float | None = None,
         stall_s: float | None = None,
         most_bytes: int = MAX_RESPONSE,
     ) -> HttpAnswer | NotSent | SentUnanswered:
@@ -213,8 +214,12 @@
         part of it: how long a large body takes depends on the link, and one that is cut
         off and asked for again never comes to its end.
         A body of more than ``most_bytes`` is not read: ``AnswerTooLarge``.
+        A request with a body that has not left within ``send_within_s``, because no
+        connection was there, never leaves: ``NotSent``.
         """
-        opened = await self._open(method, url, body, headers, timeout_s)
+        opened = await self._open(
+            method, url, body, headers, timeout_s, send_within_s=send_within_s
+        )
         if isinstance(opened, NotSent | SentUnanswered):
             return opened
         response, remaining_s = opened
@@ -268,6 +273,8 @@
         body: bytes,
         headers: dict[str, str] | None,
         timeout_s: float,
+        *,
+        send_within_s: float | None = None,
     ) -> tuple[Any, float] | NotSent | SentUnanswered:
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
@@ -278,8 +285,14 @@
         deferred = self._agent.request(
             method.encode(), url.encode(), raw, producer if body else None
         )
+        future = deferred.asFuture(loop)
+        if body and send_within_s is not None:
+            await asyncio.wait((future,), timeout=min(send_within_s, timeout_s))
+            if not (future.done() or producer.begun):
+                future.cancel()
+                return NotSent(reason="timed out before sending")
         try:
-            response = await asyncio.wait_for(deferred.asFuture(loop), timeout_s)
+            response = await asyncio.wait_for(future, deadline - loop.time())
         except _NEVER_SENT as error:
             return NotSent(reason=f"cannot connect: {error}")
         except TimeoutError:
--- a/src/firladder/_internal/node/attendant.py
+++ b/src/firladder/_internal/node/attendant.py
@@ -51,16 +51,14 @@
 """The most while runs of ours may go on there. After a cut their leases have a second
 or two left: a look that comes later finds a gang's work lost."""
 
+NOT_SENT_SLACK_S = 0.02
+"""Seconds beyond the wait in which a call says that it has not left."""
+
 START_TRIES = 3
 """Times that a start is sent until it counts as lost. Workers know a run that they have
 begun by its number; given up after one try, a gang of a dozen seldom begins while each
 fifth order is lost."""
 
-REACH_WAIT_S = 0.5
-"""Seconds after a call without an answer for which starts wait until the worker has
-answered again. Dropped at once, one lost order would end all runs that are planned
-there, and the gangs that they belong to."""
-
 DURABLE_WAIT_S = 0.25
 """Seconds for which a look is put off until the ends that were read are durable:
 a worker answers at once while it has ends that nobody acknowledged."""
@@ -284,18 +282,18 @@
         return wait_s + max(LOOK_SLACK_S if wait_s else QUICK_S, usual_s)
 
     async def _await_answer(
-        self, call: Coroutine[Any, Any, float | OrderFailure]
+        self, call: Coroutine[Any, Any, float | OrderFailure], timeout_s: float
     ) -> float | OrderFailure:
         """Return the answer to an order, or that it did not come in time.
 
-        The call goes on for a while: how late its answer is tells for how long the
-        next ones are to be awaited.
+        A call that has left goes on for a while: how late its answer is tells for how
+        long the next ones are to be awaited.
         """
         owner = self._owner
         sent_at = owner.clock.read_monotonic()
         task = owner.spawn(call, name=f"order-{self._worker.worker_id}")
         task.add_done_callback(lambda _: self._time_answer(task, sent_at))
-        await asyncio.wait((task,), timeout=owner.answer_timer.timeout_s)
+        await asyncio.wait((task,), timeout=timeout_s + NOT_SENT_SLACK_S)
         if task.done():
             return task.result()
         return SentUnanswered(reason="timed out before the answer")
@@ -370,7 +368,8 @@
             if placement.phase is not Phase.SENT or self._gone:
                 break
         now = owner.clock.read_monotonic()
-        if isinstance(answer, float | OrderRejected):
+        shown = isinstance(answer, SentUnanswered) and placement.at_work
+        if shown or isinstance(answer, float | OrderRejected):
             # A rejected start may still have lengthened the lease. All copies carry
             # the same time, so that a late one does not lengthen it any more.
             leases.note_grant_answered(
@@ -381,12 +380,17 @@
         if isinstance(answer, FencedOff):
             owner.step_down("a worker knows a higher fencing token")
             return
-        self._core.read_start(placement, answer, now)
+        if not shown:
+            self._core.read_start(placement, answer, now)
 
     async def _await_reach(self) -> None:
-        """Wait until a lease may be granted, if a call was lost only just now."""
+        """Wait until a lease may be granted, if a call was lost only just now.
+
+        Dropped at once, one lost order would end all runs that are planned there, and
+        the gangs that they belong to.
+        """
         worker, clock = self._worker, self._owner.clock
-        until = worker.unreachable_at + REACH_WAIT_S
+        until = worker.unreachable_at + self._owner.answer_timer.timeout_s
         while not (worker.may_be_granted or self._gone):
             left_s = until - clock.read_monotonic()
             if left_s <= 0:
@@ -400,12 +404,14 @@
         self, order: Order, deadline_s: float
     ) -> float | OrderFailure:
         sent_at = self._owner.clock.read_monotonic()
+        timeout_s = self._owner.answer_timer.timeout_s
         call = self._owner.calls.start(
             self._core.describe_start(order.placement),
             deadline_s=deadline_s,
+            send_within_s=timeout_s,
             timeout_s=LONGEST_S,
         )
-        answer = await self._await_answer(call)
+        answer = await self._await_answer(call, timeout_s)
         now = self._owner.clock.read_monotonic()
         self._note_answer(order, answer, sent_at=sent_at, now=now)
         return answer
@@ -418,8 +424,9 @@
         if placement.stop_answered:
             return
         sent_at = owner.clock.read_monotonic()
-        call = owner.calls.stop(stop, timeout_s=LONGEST_S)
-        answer = await self._await_answer(call)
+        timeout_s = owner.answer_timer.timeout_s
+        call = owner.calls.stop(stop, send_within_s=timeout_s, timeout_s=LONGEST_S)
+        answer = await self._await_answer(call, timeout_s)
         now = owner.clock.read_monotonic()
         self._note_answer(order, answer, sent_at=sent_at, now=now)
         if isinstance(answer, FencedOff):
--- a/src/firladder/_internal/platform/workers.py
+++ b/src/firladder/_internal/platform/workers.py
@@ -76,12 +76,18 @@
         self.calls = 0
 
     async def start(
-        self, order: StartOrder, *, deadline_s: float, timeout_s: float
+        self,
+        order: StartOrder,
+        *,
+        deadline_s: float,
+        send_within_s: float,
+        timeout_s: float,
     ) -> float | OrderFailure:
         """Begin a task; return the worker's clock in seconds.
 
         ``deadline_s`` is the time on that clock until which all that runs on
-        the worker may go on; the answer is awaited for ``timeout_s``.
+        the worker may go on. The answer is awaited for ``timeout_s``; an order that
+        finds no connection ``send_within_s`` seconds long is not sent.
         """
         body: dict[str, Any] = {
             "task": format_task(order.task),
@@ -92,20 +98,18 @@
         }
         if order.checkpoint:
             body["checkpoint"] = order.checkpoint
-        return await self._order(
-            order.worker_id, order.address, "/-/run-start", body, timeout_s
-        )
+        return await self._order(order, "/-/run-start", body, send_within_s, timeout_s)
 
-    async def stop(self, order: StopOrder, *, timeout_s: float) -> float | OrderFailure:
+    async def stop(
+        self, order: StopOrder, *, send_within_s: float, timeout_s: float
+    ) -> float | OrderFailure:
         """End a run; a run that is not there is rejected when it comes later."""
         body = {
             "task": format_task(order.task),
             "run": order.run,
             "fencing_token": self.token,
         }
-        return await self._order(
-            order.worker_id, order.address, "/-/run-stop", body, timeout_s
-        )
+        return await self._order(order, "/-/run-stop", body, send_within_s, timeout_s)
 
     async def look(
         self,
@@ -143,19 +147,26 @@
 
     async def _order(
         self,
-        worker_id: str,
-        address: str,
+        order: StartOrder | StopOrder,
         path: str,
         body: dict[str, Any],
+        send_within_s: float,
         timeout_s: float,
     ) -> float | OrderFailure:
-        answer = await self._call(worker_id, address, path, body, timeout_s)
+        answer = await self._call(
+            order.worker_id,
+            order.address,
+            path,
+            body,
+            timeout_s,
+            send_within_s=send_within_s,
+        )
         if not isinstance(answer, HttpAnswer):
             return answer
         try:
             return msgspec.json.decode(answer.body, type=_Clock).clock_ms / 1000
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            logger.warning("worker %s: unreadable answer: %s", worker_id, error)
+            logger.warning("worker %s: unreadable answer: %s", order.worker_id, error)
             return SentUnanswered(reason=f"unreadable answer: {error}")
 
     async def _call(
@@ -165,6 +176,8 @@
         path: str,
         body: dict[str, Any],
         timeout_s: float,
+        *,
+        send_within_s: float | None = None,
     ) -> HttpAnswer | OrderFailure:
         self.calls += 1
         answer = await self._http.call(
@@ -173,6 +186,7 @@
             body=encode_json(body),
             headers={"X-Target-Instance": worker_id},
             timeout_s=timeout_s,
+            send_within_s=send_within_s,
         )
         if not isinstance(answer, HttpAnswer):
             return answer
