Abort a call that was given up while it waited for a connection

And giving up relied on the connection's own limit of a second: its scenario now takes connections while the reactor runs, and receives the request unless the call is aborted.

Leaving the call by any way now cancels what has not ended.

--- a/features/steps/network_answers_steps.py
+++ b/features/steps/network_answers_steps.py
@@ -350,11 +350,22 @@
 
 @then("nothing arrives when the server takes connections again")
 def check_nothing(context):
-    context.listener.settimeout(1.5)
-    with contextlib.suppress(TimeoutError):
-        while True:
-            connection, _ = context.listener.accept()
-            connection.settimeout(0.3)
+    listener, received = context.listener, []
+    listener.settimeout(0.1)
+
+    async def take_connections():
+        """Let the reactor run meanwhile: only it can send what is left."""
+        until = time.monotonic() + 1.5
+        taken = []
+        while time.monotonic() < until:
+            with contextlib.suppress(TimeoutError):
+                taken.append(listener.accept()[0])
+            await asyncio.sleep(0.05)
+        for connection in taken:
+            connection.settimeout(0.1)
             with contextlib.suppress(TimeoutError):
-                assert connection.recv(100) == b"", "a request arrived"
+                received.append(connection.recv(100))
             connection.close()
+
+    play(context, take_connections())
+    assert not any(received), received
--- a/src/firladder/_internal/network/http_client.py
+++ b/src/firladder/_internal/network/http_client.py
@@ -286,12 +286,11 @@
             method.encode(), url.encode(), raw, producer if body else None
         )
         future = deferred.asFuture(loop)
-        if body and send_within_s is not None:
-            await asyncio.wait((future,), timeout=min(send_within_s, timeout_s))
-            if not (future.done() or producer.begun):
-                future.cancel()
-                return NotSent(reason="timed out before sending")
         try:
+            if body and send_within_s is not None:
+                await asyncio.wait((future,), timeout=send_within_s)
+                if not (future.done() or producer.begun):
+                    return NotSent(reason="timed out before sending")
             response = await asyncio.wait_for(future, deadline - loop.time())
         except _NEVER_SENT as error:
             return NotSent(reason=f"cannot connect: {error}")
@@ -301,6 +300,10 @@
             return SentUnanswered(reason="timed out before the answer")
         except Exception as error:
             return SentUnanswered(reason=f"no answer: {_describe(error)}")
+        finally:
+            # Without effect on a call that has ended; one whose caller was cancelled
+            # would go on without a limit.
+            future.cancel()
         return response, max(0.001, deadline - loop.time())
 
     def drop_idle(self) -> None:
