--- /dev/null
+++ b/src/firladder/_internal/engine/answers.py
@@ -0,0 +1,85 @@
+"""What the answers to orders, or their lack, say of the runs they were for."""
+
+import math
+
+from ..exceptions import (
+    FencedOff,
+    NotSent,
+    OrderFailure,
+    OrderRejected,
+    SentUnanswered,
+    WorkerRefused,
+    WorkerReplaced,
+)
+from .health import blame_worker
+from .runs import Runs
+from .state import Phase, Placement, Worker
+
+FULL_S = 1.0
+"""Seconds without new work for a worker that said it has no room."""
+
+
+class Answers(Runs):
+    """Takes the answers of workers to starts and stops."""
+
+    def read_start(
+        self, placement: Placement, answer: float | OrderFailure, now: float
+    ) -> None:
+        """Take the answer to a start."""
+        worker = self.workers.get(placement.worker_id)
+        if worker is None or placement.key not in worker.placements:
+            return
+        if isinstance(answer, float):
+            placement.seen = True
+            if placement.settled_at == math.inf:
+                placement.settled_at = now
+            if placement.phase is Phase.SENT:
+                self._activate(placement, now)
+            return
+        if isinstance(answer, WorkerReplaced):
+            self.lose_worker(worker.worker_id, answer.reason)
+            return
+        if isinstance(answer, SentUnanswered | FencedOff):
+            self.note_unreachable(worker, now)
+            if placement.phase is Phase.SENT:
+                self._end_run_of(placement)
+            return
+        self._judge_refusal(worker, placement, answer, now)
+        if not placement.may_begin_late:
+            self._resolve(worker, placement, None)
+        elif placement.phase is Phase.SENT:
+            self._end_run_of(placement)
+
+    def _judge_refusal(
+        self,
+        worker: Worker,
+        placement: Placement,
+        answer: OrderRejected | WorkerRefused | NotSent,
+        now: float,
+    ) -> None:
+        unit = placement.unit
+        if isinstance(answer, OrderRejected) and answer.rejection == "no_room":
+            worker.full_until = now + FULL_S
+        elif isinstance(answer, NotSent):
+            self.note_unreachable(worker, now)
+        elif isinstance(answer, WorkerRefused) and unit is not None:
+            worker.full_until = now + FULL_S
+            blame_worker(worker, unit.job.accepted.job_id, now)
+
+    def read_stop(
+        self, placement: Placement, answer: float | OrderFailure, now: float
+    ) -> None:
+        """Take the answer to a stop."""
+        worker = self.workers.get(placement.worker_id)
+        if worker is None:
+            return
+        if isinstance(answer, float):
+            placement.stop_answered = True
+            placement.settled_at = now
+        elif isinstance(answer, WorkerReplaced):
+            self.lose_worker(worker.worker_id, answer.reason)
+        elif isinstance(answer, OrderRejected):
+            placement.stop_answered = True
+            placement.settled_at = now
+        else:
+            self.note_unreachable(worker, now)
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -2,6 +2,7 @@
 
 from ..models.order import EndedTask, Ending, TaskId, WorkerReport
 from ..models.workload import WorkerEntry
+from .answers import Answers
 from .health import (
     STALL_S,
     WHOLE_PERCENT,
@@ -12,11 +13,10 @@
     note_percent,
     waits_for_members,
 )
-from .runs import Runs
 from .state import Phase, Placement, Unit, UnitState, Worker, find_unit
 
 
-class Reports(Runs):
+class Reports(Answers):
     """Compares what workers report with the runs that they were given."""
 
     def see_worker(self, entry: WorkerEntry, *, now: float) -> Worker:
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -14,18 +14,8 @@
 import math
 from collections.abc import Callable, Iterable
 
-from ..exceptions import (
-    FencedOff,
-    NotSent,
-    OrderFailure,
-    OrderRejected,
-    SentUnanswered,
-    WorkerRefused,
-    WorkerReplaced,
-)
 from ..models.order import Ending, StartOrder, StopOrder
 from ..models.workload import QueueConfiguration
-from .health import blame_worker
 from .speeds import Speeds
 from .state import Job, JobState, Phase, Placement, Unit, UnitState, Worker
 
@@ -33,9 +23,6 @@
 """Seconds until a stop without an answer is sent again; longer than the time
 for which its answer is awaited, so that one at a time is on its way."""
 
-FULL_S = 1.0
-"""Seconds without new work for a worker that said it has no room."""
-
 Note = Callable[..., None]
 """Takes a decision's name and its inputs, for the log."""
 
@@ -198,68 +185,6 @@
             placement.worker_id, worker.entry.address, placement.task, placement.run
         )
 
-    def read_start(
-        self, placement: Placement, answer: float | OrderFailure, now: float
-    ) -> None:
-        """Take the answer to a start."""
-        worker = self.workers.get(placement.worker_id)
-        if worker is None or placement.key not in worker.placements:
-            return
-        if isinstance(answer, float):
-            placement.seen = True
-            if placement.settled_at == math.inf:
-                placement.settled_at = now
-            if placement.phase is Phase.SENT:
-                self._activate(placement, now)
-            return
-        if isinstance(answer, WorkerReplaced):
-            self.lose_worker(worker.worker_id, answer.reason)
-            return
-        if isinstance(answer, SentUnanswered | FencedOff):
-            self.note_unreachable(worker, now)
-            if placement.phase is Phase.SENT:
-                self._end_run_of(placement)
-            return
-        self._judge_refusal(worker, placement, answer, now)
-        if not placement.may_begin_late:
-            self._resolve(worker, placement, None)
-        elif placement.phase is Phase.SENT:
-            self._end_run_of(placement)
-
-    def _judge_refusal(
-        self,
-        worker: Worker,
-        placement: Placement,
-        answer: OrderRejected | WorkerRefused | NotSent,
-        now: float,
-    ) -> None:
-        unit = placement.unit
-        if isinstance(answer, OrderRejected) and answer.rejection == "no_room":
-            worker.full_until = now + FULL_S
-        elif isinstance(answer, NotSent):
-            self.note_unreachable(worker, now)
-        elif isinstance(answer, WorkerRefused) and unit is not None:
-            worker.full_until = now + FULL_S
-            blame_worker(worker, unit.job.accepted.job_id, now)
-
-    def read_stop(
-        self, placement: Placement, answer: float | OrderFailure, now: float
-    ) -> None:
-        """Take the answer to a stop."""
-        worker = self.workers.get(placement.worker_id)
-        if worker is None:
-            return
-        if isinstance(answer, float):
-            placement.stop_answered = True
-            placement.settled_at = now
-        elif isinstance(answer, WorkerReplaced):
-            self.lose_worker(worker.worker_id, answer.reason)
-        elif isinstance(answer, OrderRejected):
-            placement.stop_answered = True
-            placement.settled_at = now
-        else:
-            self.note_unreachable(worker, now)
-
     def mark_durable(self, job_id: str, version: int) -> None:
         """Note that a job is stored as it was at ``version``."""
         job = self.jobs.get(job_id)
--- a/src/firladder/_internal/node/attendant.py
+++ b/src/firladder/_internal/node/attendant.py
@@ -1,15 +1,11 @@
 """Attend one worker: look what runs there, renew its lease, carry orders."""
 
 import asyncio
-import dataclasses
-import enum
-import itertools
 import logging
 from collections.abc import Coroutine
-from typing import Any, Protocol, TypeVar
+from typing import Any
 
 from ..engine import leases
-from ..engine.core import Core
 from ..engine.state import Phase, Placement, Worker
 from ..exceptions import (
     FencedOff,
@@ -21,14 +17,12 @@
     WorkerReplaced,
 )
 from ..models.order import WorkerReport
-from ..platform.workers import WorkerCalls
-from ..utils.clocks import Clock
-from .answer_timer import LONGEST_S, AnswerTimer
+from .answer_timer import LONGEST_S
+from .orders import Order, OrderQueue
+from .owner import Owner
 
 logger = logging.getLogger(__name__)
 
-T = TypeVar("T")
-
 LOOK_WAIT_S = 2.0
 """Seconds that a look waits for an end; each look is priced, and the platform
 lets it wait no longer."""
@@ -64,73 +58,11 @@
 a worker answers at once while it has ends that nobody acknowledged."""
 
 
-class Rank(enum.IntEnum):
-    """Which of the orders that wait for a worker is sent first."""
-
-    URGENT_START = 0
-    STOP = 1
-    START = 2
-
-
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
-class Order:
-    """A start or a stop that waits for its turn.
-
-    Of one rank, what was queued first goes first. ``queued_at`` is the leader's own
-    time, in seconds.
-    """
-
-    rank: Rank
-    number: int
-    placement: Placement = dataclasses.field(compare=False)
-    start: bool = dataclasses.field(compare=False)
-    queued_at: float = dataclasses.field(compare=False)
-
-    @property
-    def kind(self) -> str:
-        """Return the order's name in logs and metrics."""
-        return "start" if self.start else "stop"
-
-
-def rank_order(placement: Placement, *, start: bool) -> Rank:
-    """Return when an order is sent: urgent work first, then what makes room."""
-    if not start:
-        return Rank.STOP
-    unit = placement.unit
-    urgent = unit is not None and unit.job.accepted.priority == 0
-    return Rank.URGENT_START if urgent else Rank.START
-
-
 def lengthen_pause(pause_s: float, *, holds_runs: bool) -> float:
     """Return for how long to wait after one more failed look, in seconds."""
     return min(2 * pause_s, HELD_PAUSE_S if holds_runs else MOST_PAUSE_S)
 
 
-class Owner(Protocol):
-    """What an attendant needs of the term that it belongs to."""
-
-    core: Core
-    calls: WorkerCalls
-    clock: Clock
-    answer_timer: AnswerTimer
-
-    @property
-    def may_renew(self) -> bool:
-        """Tell whether leases may still be renewed."""
-
-    def note_change(self) -> None:
-        """Plan and write what an event has changed."""
-
-    def note_order(self, kind: str, waited_s: float, took_s: float) -> None:
-        """Count an order that waited for others and was then sent."""
-
-    def spawn(self, work: Coroutine[Any, Any, T], *, name: str) -> asyncio.Task[T]:
-        """Run ``work`` until it ends, or the term does."""
-
-    def step_down(self, reason: str) -> None:
-        """End the term."""
-
-
 class Attendant:
     """The task that owns all calls to one worker."""
 
@@ -140,10 +72,7 @@
         self._core = owner.core
         self._worker = worker
         self._wake = asyncio.Event()
-        self._orders: asyncio.PriorityQueue[Order] = asyncio.PriorityQueue()
-        self._numbers = itertools.count()
-        self._unsent: set[Placement] = set()
-        self._stopping: set[Placement] = set()
+        self._orders = OrderQueue()
         self._waits_for_end = False
         self._may_be_granted = asyncio.Event()
 
@@ -155,28 +84,21 @@
     def order(self, placement: Placement, *, start: bool) -> None:
         """Send a start or a stop when its turn comes.
 
-        A stop that still waits is not queued again: it is repeated more often than a
-        worker without answers takes one, and starts would wait behind all of them. One
-        whose start has not left is not needed.
+        The stop of a run whose start has not left is not needed.
         """
+        now = self._owner.clock.read_monotonic()
         if start:
-            self._unsent.add(placement)
-        elif placement in self._unsent:
+            self._orders.add_start(placement, now)
+        elif self._orders.holds_start(placement):
             self._core.drop_unsent(placement)
             self._owner.note_change()
-            return
-        elif placement in self._stopping:
-            return
         else:
-            self._stopping.add(placement)
-        now = self._owner.clock.read_monotonic()
-        rank, number = rank_order(placement, start=start), next(self._numbers)
-        self._orders.put_nowait(Order(rank, number, placement, start, now))
+            self._orders.add_stop(placement, now)
 
     @property
     def waiting_orders(self) -> int:
         """Return how many orders wait to be sent."""
-        return self._orders.qsize()
+        return len(self._orders)
 
     @property
     def _gone(self) -> bool:
@@ -331,13 +253,13 @@
     async def carry_orders(self) -> None:
         """Send the orders one after the other over one connection."""
         while not self._gone:
-            order = await self._orders.get()
+            order = await self._orders.take()
             if order.start:
                 await self._start(order)
             else:
                 await self._stop(order)
-                self._stopping.discard(order.placement)
-            if self._orders.empty() or not self._worker.reachable:
+                self._orders.note_answered(order)
+            if not self._orders or not self._worker.reachable:
                 await self._look_beside()
             self.wake()
             self._owner.note_change()
@@ -345,7 +267,7 @@
     async def _start(self, order: Order) -> None:
         worker, owner, placement = self._worker, self._owner, order.placement
         await self._await_reach()
-        self._unsent.discard(placement)
+        self._orders.note_leaving(order)
         if placement.phase is not Phase.SENT:
             self._core.drop_unsent(placement)
             return
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -15,7 +15,7 @@
     decode_progress,
 )
 from ..engine.state import Worker
-from ..exceptions import Failure, MalformedBody, NotLeader
+from ..exceptions import MalformedBody, NotLeader
 from ..models.workload import QueueConfiguration
 from ..platform.discovery import WORKER_PREFIX, decode_worker
 from ..platform.evacuation import EVACUATION_PREFIX
@@ -31,6 +31,7 @@
 from .evacuations import Evacuations
 from .journal import Journal
 from .keys import CANCELS, INTAKE, JOBS, PROGRESS
+from .retention import Retention
 from .watching import PrefixWatch
 
 logger = logging.getLogger(__name__)
@@ -55,15 +56,6 @@
 READ_AGAIN_S = 0.1
 """Seconds until a list that the store did not give is asked for again."""
 
-CLEAN_S = 15.0
-"""Seconds between two searches for jobs to forget."""
-
-CLEANED_AT_ONCE = 8
-"""Jobs forgotten in one search at most, a write each: the store takes few a second."""
-
-KEPT_SLACK_S = 30.0
-"""Seconds that an ended job is kept beyond what callers are promised."""
-
 
 class Term:
     """Everything that a leader does from its election to its end."""
@@ -117,6 +109,14 @@
             on_durable=self._note_durable,
         )
 
+        self._retention = Retention(
+            core=self.core,
+            store=store,
+            clock=clock,
+            kept_s=settings.kept_s,
+            revisions=self._revisions,
+        )
+
     @property
     def may_renew(self) -> bool:
         """Tell whether leases at workers may still be renewed.
@@ -183,7 +183,7 @@
         journal.add_done_callback(self._read_journal_end)
         self._tasks.spawn(self._plan_forever(), name="plan")
         self._tasks.spawn(self._tick_forever(), name="tick")
-        self._tasks.spawn(self._clean_forever(), name="clean")
+        self._tasks.spawn(self._retention.run(), name="retention")
 
     def _read_journal_end(self, task: "asyncio.Task[NotLeader]") -> None:
         if not task.cancelled() and task.exception() is None:
@@ -389,26 +389,5 @@
                 attendant.wake()
             self._plan_once()
 
-    async def _clean_forever(self) -> None:
-        while True:
-            await asyncio.sleep(CLEAN_S)
-            await self._clean()
-
-    async def _clean(self) -> None:
-        before = self.clock.read_wall() - self._settings.kept_s - KEPT_SLACK_S
-        old = [
-            job_id
-            for job_id, job in self.core.jobs.items()
-            if job.terminal and 0 < job.ended_at < before and job.durable >= job.version
-        ]
-        for job_id in old[:CLEANED_AT_ONCE]:
-            keys = [JOBS + job_id, CANCELS + job_id, PROGRESS + job_id]
-            result = await self._store.commit(expected=[], remove=keys)
-            if isinstance(result, Failure):
-                logger.info("old job not removed: %s", result.reason)
-                return
-            self.core.forget_job(job_id)
-            self._revisions.pop(job_id, None)
-
     def _note(self, what: str, **inputs: object) -> None:
         self._timeline.record(Event.CORE_DECIDED, what=what, **inputs)
