Let a leader on a small link give way to a larger VM

Large VMs stand first by up to half a second, but after an outage of the store a small one may learn first that nobody leads, and then leads for good.

Nodes say in their greetings how well they can lead. A leader with a small link gives its key back two seconds into its term, when a VM that stands before it and has a larger link reaches the store; twice as late each next time, so that where the larger one cannot take over the key does not go round and round. Fleets of small links alone never change leaders for it. The hand-over is the one of a planned stop. Old nodes say nothing, and count as small.

--- /dev/null
+++ b/features/steps/node_handover_steps.py
@@ -0,0 +1,109 @@
+import asyncio
+import uuid
+
+from behave import given, then, when
+
+from features.environment import start_platform
+from features.support.virtual_time import play
+from firladder._internal.node.election import Standing
+from firladder._internal.node.handover import HandOver
+from standins.site import wait_for
+
+JOB = {"spec": "0.3", "steps": [{"count": 1, "cpu": 1000, "mem_mb": 512, "gpu": 1}]}
+
+
+@given("a leader with a link of {link:f} Mbit/s whose campaigns wait {delay:f} s")
+def make_leader(context, link, delay):
+    context.peers, context.reaches_store = [], True
+    context.hand_over = HandOver(
+        own=Standing(link, delay),
+        list_able=lambda: context.peers,
+        reaches_store=lambda: context.reaches_store,
+    )
+
+
+@given("a peer with {link:f} Mbit/s whose campaigns wait {delay:f} s")
+def add_peer(context, link, delay):
+    context.peers.append(Standing(link, delay))
+
+
+@when("the store does not answer the leader")
+def lose_store(context):
+    context.reaches_store = False
+
+
+def gives_way(context, within_s):
+    async def wait():
+        try:
+            await asyncio.wait_for(context.hand_over.wait_until_due(), within_s)
+        except TimeoutError:
+            return False
+        return True
+
+    results = []
+
+    async def note():
+        results.append(await wait())
+
+    play(note())
+    return results[0]
+
+
+@then("the leader gives way to it within {seconds:d} s")
+def check_way(context, seconds):
+    assert gives_way(context, seconds)
+
+
+@then("the leader does not give way to it within {seconds:d} s")
+def check_no_way(context, seconds):
+    assert not gives_way(context, seconds)
+
+
+@when("the leadership comes back to it each time")
+def come_back(context):
+    context.given = 0
+
+    async def lead():
+        while True:
+            await context.hand_over.wait_until_due()
+            context.given += 1
+
+    context.leading = lead
+
+
+@then("it gives way at most {most:d} times within {seconds:d} s")
+def check_times(context, most, seconds):
+    async def lead_for():
+        task = asyncio.create_task(context.leading())
+        await asyncio.sleep(seconds)
+        task.cancel()
+
+    play(lead_for())
+    assert 1 <= context.given <= most, context.given
+
+
+@given(
+    "a node with a link of {small:d} Mbit/s that leads "
+    "and one with {large:d} Mbit/s that is down"
+)
+def start_small(context, small, large):
+    links = (float(small), float(large))
+    site = start_platform(context, nodes=2, links_mbps=links)
+    site.nodes[1].kill()
+    wait_for(lambda: site.find_leader() == 0, 10, "the small VM leads")
+
+
+@when("the larger VM starts")
+def start_large(context):
+    context.platform.nodes[1].restart()
+
+
+@then("it leads within {seconds:d} s, and a job that is submitted then is completed")
+def check_leads(context, seconds):
+    site = context.platform
+    wait_for(lambda: site.find_leader() == 1, seconds, "the larger VM leads")
+    path = f"/q1/{uuid.uuid4().hex[:16]}"
+    assert site.ask("POST", path, JOB)[0] == 200
+    wait_for(
+        lambda: site.ask("GET", path)[1] == {"state": "completed"}, 10, "job completed"
+    )
--- a/src/firladder/_internal/models/message.py
+++ b/src/firladder/_internal/models/message.py
@@ -137,7 +137,8 @@
 class GreetNode(Body, frozen=True, kw_only=True, tag="greet_node"):
     """Tell a node who asks, which leader it knows and what configuration it has.
 
-    ``leader_token`` is the fencing token of the leader known, 0 for none.
+    ``leader_token`` is the fencing token of the leader known, 0 for none. The last two
+    say how well the VM can lead: its link, and for how long it lets others go first.
     """
 
     ip: str
@@ -146,6 +147,8 @@
     leader_token: int = 0
     store_reachable: bool = True
     failure_domain: str = ""
+    link_mbps: float = 0.0
+    campaign_delay_s: float = 0.0
 
 
 class NodeView(Body, frozen=True, kw_only=True, tag="node_view"):
--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -24,8 +24,14 @@
 from ..utils.tokens import mint_incarnation
 from .answers import PeerAnswers, take_announcement
 from .configuration import STORE, ConfigurationStore
-from .election import Campaign, Leadership, choose_delay, decode_leader
+from .election import (
+    Campaign,
+    Leadership,
+    decode_leader,
+    measure_standing,
+)
 from .fleet import Fleet
+from .handover import HandOver
 from .intake import Intake
 from .isolation import Isolation
 from .keys import LEADER
@@ -110,6 +116,10 @@
         )
         self.configuration = ConfigurationStore()
         self.configuration.listeners.append(self._note_configuration)
+        self._standing = measure_standing(
+            processor_cores=self.settings.processor_cores,
+            link_mbps=self.settings.link_mbps,
+        )
         self.fleet = Fleet(
             ip=self.settings.ip,
             failure_domain=self.settings.failure_domain,
@@ -121,6 +131,12 @@
             rng=self.rng,
             timeline=self.timeline,
             reaches_store=lambda: self.store.reachable,
+            standing=self._standing,
+        )
+        self._hand_over = HandOver(
+            own=self._standing,
+            list_able=self.fleet.list_standings,
+            reaches_store=lambda: self.store.reachable,
         )
         self.fleet.on_leader.append(self._note_leader)
         self.isolation = Isolation(
@@ -318,10 +334,7 @@
             incarnation=self.incarnation,
             clock=self.clock,
             rng=self.rng,
-            delay_s=choose_delay(
-                processor_cores=self.settings.processor_cores,
-                link_mbps=self.settings.link_mbps,
-            ),
+            delay_s=self._standing.delay_s,
         )
         while not self.leaving:
             await self._leader_gone.wait()
@@ -352,13 +365,22 @@
         self.timeline.record(Event.TERM_BEGUN, token=leadership.token)
         self.fleet.note_leader(self.settings.ip, leadership.token)
         term.adopt_configuration(self.configuration.current)
+        due = self._tasks.spawn(self._give_way(term), name="hand-over")
         reason = await term.run()
         self.term = None
+        if due.done():
+            await leadership.resign()
+        else:
+            due.cancel()
         # Where no other node takes over, this one must have the time it needs.
         self._load_s = 2 * self._load_s if term.too_slow else LOAD_S
         self.fleet.forget_leader(leadership.token)
         self.timeline.record(Event.TERM_ENDED, token=leadership.token, reason=reason)
 
+    async def _give_way(self, term: Term) -> None:
+        await self._hand_over.wait_until_due()
+        term.step_down("a VM with a larger link can lead")
+
     def announce(self, body: AnyBody) -> None:
         """Tell the leader in the background."""
         self._tasks.spawn(self.announce_now(body), name="announce")
--- a/src/firladder/_internal/node/election.py
+++ b/src/firladder/_internal/node/election.py
@@ -1,6 +1,7 @@
 """Choose one leader by a key under a lease, and keep it while it is proved."""
 
 import asyncio
+import dataclasses
 import logging
 import random
 
@@ -39,6 +40,27 @@
 than their jitter and their calls, shorter than what callers would notice."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """How well a VM can lead: its link, and the delay of its campaigns in seconds."""
+
+    link_mbps: float = 0.0
+    delay_s: float = 0.0
+
+    @property
+    def has_small_link(self) -> bool:
+        """Tell whether its link is too small for the orders of a busy fleet."""
+        return self.link_mbps < SMALL_LINK_MBPS
+
+    def yields_to(self, other: "Standing") -> bool:
+        """Tell whether a leader of this standing gives way to the other VM.
+
+        Among VMs with small links nothing is gained that is worth a hand-over.
+        """
+        better = other.delay_s < self.delay_s and not other.has_small_link
+        return self.has_small_link and better
+
+
 def choose_delay(*, processor_cores: float, link_mbps: float) -> float:
     """Return for how long a VM lets larger ones go first, in seconds.
 
@@ -49,6 +71,12 @@
     return small * SMALL_DELAY_S
 
 
+def measure_standing(*, processor_cores: float, link_mbps: float) -> Standing:
+    """Return how well a VM of this size can lead."""
+    delay_s = choose_delay(processor_cores=processor_cores, link_mbps=link_mbps)
+    return Standing(link_mbps, delay_s)
+
+
 class LeaderRecord(msgspec.Struct, frozen=True, array_like=True):
     """The value of the leader's key."""
 
--- a/src/firladder/_internal/node/fleet.py
+++ b/src/firladder/_internal/node/fleet.py
@@ -23,6 +23,7 @@
 from ..utils.tasks import TaskSet
 from .configuration import ConfigurationStore
 from .distribution import Distribution
+from .election import Standing
 
 logger = logging.getLogger(__name__)
 
@@ -73,8 +74,11 @@
         rng: random.Random,
         timeline: Timeline,
         reaches_store: Callable[[], bool],
+        standing: Standing | None = None,
     ) -> None:
-        """Know ``seeds`` (IP numbers) to begin with."""
+        """Know ``seeds`` (IP numbers) to begin with; greet as a VM of ``standing``."""
+        self._standing = standing or Standing()
+        self._standings: dict[str, Standing] = {}
         self._reaches_store = reaches_store
         self._store_reached: dict[str, float] = {}
         self._ip = ip
@@ -120,6 +124,7 @@
         for ip in [ip for ip, at in self._heard.items() if now - at > FORGET_S]:
             del self._heard[ip]
             self._domains.pop(ip, None)
+            self._standings.pop(ip, None)
             self._store_reached.pop(ip, None)
         return sorted({*self._heard, *self._seeds})
 
@@ -179,12 +184,22 @@
         messages that may be lost, and a caller that could be told "not stored"
         would have to be told "unknown".
         """
-        since = self._clock.read_monotonic() - HELPER_FRESH_S
-        able = [ip for ip, at in self._store_reached.items() if at >= since]
+        able = self._list_able()
         if self.leader_ip in able:
             return self.leader_ip
         return self._rng.choice(able) if able else None
 
+    def _list_able(self) -> list[str]:
+        """Return the peers that lately reached the store."""
+        since = self._clock.read_monotonic() - HELPER_FRESH_S
+        return [ip for ip, at in self._store_reached.items() if at >= since]
+
+    def list_standings(self) -> list[Standing]:
+        """Return how well the peers could lead that lately reached the store."""
+        return [
+            self._standings[ip] for ip in self._list_able() if ip in self._standings
+        ]
+
     def forget_store_helper(self, ip: str) -> None:
         """Ask a peer no more until it says again that it reaches the store."""
         self._store_reached.pop(ip, None)
@@ -273,12 +288,17 @@
             leader_token=self.leader_token,
             store_reachable=self._reaches_store(),
             failure_domain=self._failure_domain,
+            link_mbps=self._standing.link_mbps,
+            campaign_delay_s=self._standing.delay_s,
         )
 
     async def _answer_greeting(self, message: GreetNode) -> AnyBody:
         self._heard[message.ip] = self._clock.read_monotonic()
         self._note_store(message.ip, reached=message.store_reachable)
         self._domains[message.ip] = message.failure_domain
+        self._standings[message.ip] = Standing(
+            message.link_mbps, message.campaign_delay_s
+        )
         if message.leader_ip:
             self.note_leader(message.leader_ip, message.leader_token)
         self.distribution.hear(message.ip, message.configuration_version)
--- /dev/null
+++ b/src/firladder/_internal/node/handover.py
@@ -0,0 +1,54 @@
+"""Give the leadership of a VM with a small link to one with a larger link.
+
+Large VMs stand for leader first, yet after an outage of the store a small one may be
+the first to learn that nobody leads. Behind its link every order and record waits.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from .election import Standing
+
+HAND_OVER_AFTER_S = 2.0
+"""Seconds of a term before it may be handed over: by then the leader has read the
+records, and heard of every node that reaches it."""
+
+MOST_AFTER_S = 64.0
+"""The same at most. It doubles with each hand-over: where the larger VMs cannot take
+over, a small one must not change places with itself again and again."""
+
+CHECK_S = 0.5
+"""Seconds between two looks at who could lead; nodes greet the leader as often."""
+
+
+class HandOver:
+    """Tells when a leader should give way."""
+
+    def __init__(
+        self,
+        *,
+        own: Standing,
+        list_able: Callable[[], Iterable[Standing]],
+        reaches_store: Callable[[], bool],
+    ) -> None:
+        """Judge for a VM of standing ``own``.
+
+        ``list_able`` gives the standings of the peers that reach the store now.
+        """
+        self._own = own
+        self._list_able = list_able
+        self._reaches_store = reaches_store
+        self._after_s = HAND_OVER_AFTER_S
+
+    async def wait_until_due(self) -> None:
+        """Return when the term that begins now should be handed over, if ever."""
+        await asyncio.sleep(self._after_s)
+        while not self._is_due():
+            await asyncio.sleep(CHECK_S)
+        self._after_s = min(2 * self._after_s, MOST_AFTER_S)
+
+    def _is_due(self) -> bool:
+        # Without the store the key cannot be given back, and nobody could take it.
+        return self._reaches_store() and any(
+            map(self._own.yields_to, self._list_able())
+        )
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -48,6 +48,8 @@
 [platform]
 address = "{store}"
 min_ttl_ms = 1000
+[limits]
+link_mbps = {link_mbps}
 """
 
 
@@ -92,8 +94,10 @@
         workers: int = 2,
         seed: int = 0,
         domains: tuple[str, ...] = ("d",),
+        links_mbps: tuple[float, ...] = (1000.0,),
     ) -> None:
-        """Prepare; nothing runs yet. Nodes are in ``domains`` by turns."""
+        """Prepare; nothing runs yet. ``domains`` and ``links_mbps`` go by turns."""
+        self._links_mbps = links_mbps
         self._domains = domains
         self._lock, ports = claim_ports()
         self.peer_port, self.metrics_port = next(ports), next(ports)
@@ -152,6 +156,7 @@
                 front=self.front,
                 ready=self.ready,
                 store=self.store_of.get(number, self.store),
+                link_mbps=self._links_mbps[number % len(self._links_mbps)],
             )
         )
         log = self.directory / f"node-{number}.log"
