Let a successor end a gang that its predecessor was giving up

The successor read that member 0 was with a worker, found it at work there, and let it go on, until it ended alone at 21.88 s, four seconds after its start.

Cause: the record of a run names the members that may still be at work, not that the run was given up. A successor took a gang that lacked a member for one at work.

A gang loses members one by one only when it cannot go on as a whole, so that one that lacks some is given up whole by the successor. One that has lost none yet needs nothing: an end or an absence of any member ends it, as before. The scenario failed before: no member was ordered to stop.

--- a/features/engine_gang_starts.feature
+++ b/features/engine_gang_starts.feature
@@ -11,3 +11,10 @@
       | third   | event                                             |
       | sent    | the start of the third gets no answer             |
       | at work | a look does not list the third, nor any end of it |
+
+  Scenario: A successor ends a gang that its predecessor was giving up
+    Guards against members that hold their workers after a change of leaders.
+    Given a gang of 3 of which two members are at work and one is sent
+    When the start of the third gets no answer
+    And it is proved over, and the leader is succeeded before the others are
+    Then the two others are ordered to stop by the successor
--- a/features/steps/engine_gang_start_steps.py
+++ b/features/steps/engine_gang_start_steps.py
@@ -48,3 +48,20 @@
     engine.make_durable()
     again = engine.start_all()
     assert [p.run for p in again] == [2, 2, 2], again
+
+
+@when("it is proved over, and the leader is succeeded before the others are")
+def succeed(context):
+    engine, third = context.engine, context.members[2]
+    engine.core.read_stop(third, engine.now, engine.now)
+    engine.now += 0.01
+    engine.report(engine.core.workers[third.worker_id])
+    engine.make_durable()
+    engine.succeed()
+
+
+@then("the two others are ordered to stop by the successor")
+def check_successor(context):
+    engine = context.engine
+    stops = engine.core.take_stops(engine.now)
+    assert {s.task for s in stops} == {m.task for m in context.members[:2]}, stops
--- a/src/firladder/_internal/engine/core.py
+++ b/src/firladder/_internal/engine/core.py
@@ -42,6 +42,10 @@
                     worker = Worker(entry, listed=False)
                     self.workers[placement.worker_id] = worker
                 worker.placements[placement.key] = placement
+            if unit.lacks_members:
+                # The earlier leader had given the run up: its other members would
+                # hold their workers until they end alone.
+                self._give_up_run(unit)
         if job.terminal:
             self._stop_all(job)
 
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -132,6 +132,14 @@
             p.phase is Phase.ACTIVE for p in self.placements.values()
         )
 
+    @property
+    def lacks_members(self) -> bool:
+        """Tell whether some members of a run are over while others may go on.
+
+        Only a run that cannot go on as a whole loses members one by one.
+        """
+        return 0 < len(self.placements) < len(self.indices)
+
     @property
     def active_since(self) -> float:
         """Return when the last of the unit's tasks began to work."""
