Let the store of configurations take the operators' items itself

The node passed listings and changes on; the store of evacuations takes its own already. No change in what is done. The scenarios on orders share the play of six small tasks.

--- a/features/steps/node_order_steps.py
+++ b/features/steps/node_order_steps.py
@@ -152,19 +152,25 @@
     assert context.units == [(True, 1)] * 4, context.units
 
 
-@when("a job of 6 small tasks is ordered, and an urgent one 0.1 s later")
-def submit_urgent(context):
+def order_six_small(context, then_do):
+    """Order six small tasks, do something 0.1 s later, and lead on for 4 s in all."""
     leader = context.leader
 
-    async def submit():
+    async def order():
         leading = asyncio.create_task(leader.lead(4.0))
         leader.engine.submit(make_job("small", make_step(6, 1)))
         await asyncio.sleep(0.1)
-        leader.engine.submit(make_job("urgent", make_step(1, 2), priority=0))
+        then_do(leader)
         leader.note_change()
         await leading
 
-    play(submit())
+    play(order())
+
+
+@when("a job of 6 small tasks is ordered, and an urgent one 0.1 s later")
+def submit_urgent(context):
+    urgent = make_job("urgent", make_step(1, 2), priority=0)
+    order_six_small(context, lambda leader: leader.engine.submit(urgent))
 
 
 @then("the urgent one is at work before 3 of the small tasks are")
@@ -177,17 +183,7 @@
 
 @when("a job of 6 small tasks is ordered, and cancelled 0.1 s later")
 def cancel_soon(context):
-    leader = context.leader
-
-    async def cancel():
-        leading = asyncio.create_task(leader.lead(4.0))
-        leader.engine.submit(make_job("small", make_step(6, 1)))
-        await asyncio.sleep(0.1)
-        leader.core.cancel_job("small")
-        leader.note_change()
-        await leading
-
-    play(cancel())
+    order_six_small(context, lambda leader: leader.core.cancel_job("small"))
 
 
 @then("only its first task was ordered, and no other was stopped")
--- a/src/firladder/_internal/node/configuration.py
+++ b/src/firladder/_internal/node/configuration.py
@@ -6,7 +6,8 @@
 
 from ..exceptions import MalformedBody
 from ..models.workload import Organisation, Queue, QueueConfiguration
-from ..platform.configuration import decode_configuration
+from ..platform.configuration import CONFIGURATION_KEY, decode_configuration
+from ..platform.store import Change, Listing
 from ..utils.packing import pack_bytes
 
 logger = logging.getLogger(__name__)
@@ -36,6 +37,20 @@
         """Return the version in force; 0 for none."""
         return self.current.version
 
+    def take_listing(self, listing: Listing) -> None:
+        """Take what the operators' prefix holds."""
+        for item in listing.items:
+            self._take_item(item.key, item.value)
+
+    def take_change(self, change: Change) -> None:
+        """Take a change below the operators' prefix."""
+        if change.value is not None:
+            self._take_item(change.key, change.value)
+
+    def _take_item(self, key: str, value: bytes) -> None:
+        if key == CONFIGURATION_KEY:
+            self.offer(value, source=STORE)
+
     def offer(self, value: bytes, *, source: str) -> bool:
         """Adopt a configuration if it is newer; tell whether it was.
 
--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -13,7 +13,7 @@
 from ..network.fabric import Fabric
 from ..network.http_client import HttpClient
 from ..network.http_server import HttpServer
-from ..platform.configuration import CONFIGURATION_KEY, CONFIGURATION_PREFIX
+from ..platform.configuration import CONFIGURATION_PREFIX
 from ..platform.settings import NodeSettings, read_node_settings
 from ..platform.store import Change, Item, Listing, PlatformStore
 from ..platform.workers import WorkerCalls
@@ -23,7 +23,7 @@
 from ..utils.tasks import TaskSet
 from ..utils.tokens import mint_incarnation
 from .answers import PeerAnswers, take_announcement
-from .configuration import STORE, ConfigurationStore
+from .configuration import ConfigurationStore
 from .election import (
     Campaign,
     Leadership,
@@ -153,8 +153,8 @@
         )
         self._configuration_watch = self._watch(
             CONFIGURATION_PREFIX,
-            self._list_configuration,
-            self._change_operator,
+            self.configuration.take_listing,
+            self.configuration.take_change,
             newest_only=True,
         )
         self.watches = (
@@ -262,19 +262,6 @@
             return None
         return self.clock.read_monotonic() - answered_at
 
-    def _list_configuration(self, listing: Listing) -> None:
-        for item in listing.items:
-            self._take_operator_item(item.key, item.value)
-
-    def _change_operator(self, change: Change) -> None:
-        if change.value is not None:
-            self._take_operator_item(change.key, change.value)
-
-    def _take_operator_item(self, key: str, value: bytes) -> None:
-        if key != CONFIGURATION_KEY:
-            return
-        self.configuration.offer(value, source=STORE)
-
     def _note_configuration(self) -> None:
         self.timeline.record(
             Event.QUEUES_ADOPTED,
