--- /dev/null
+++ b/features/node_logs.feature
@@ -0,0 +1,31 @@
+Feature: The lines that explain a failure are logged on a busy leader
+
+  Scenario: A priority line is written after more routine lines than are allowed
+    Guards against dropping the lines that tell causes apart while orders are lost.
+    Given a log that may write 600 lines at once
+    When 1000 routine lines are written at once, and then 100 priority lines
+    Then all priority lines are written, after a count of 600 routine ones dropped
+
+  Scenario: Priority lines are limited as well
+    Guards against a failing loop that uses up the processor with warnings.
+    Given a log that may write 600 lines at once
+    When 1000 priority lines are written at once
+    Then 600 are written, and the next line counts 400 dropped priority lines
+
+  Scenario: A gang whose members start far apart is logged
+    Guards against members that wait for others without a trace in the log.
+    Given a gang of 3 of which two members are running and one is sent
+    When the start of the third is answered 1.5 s later
+    Then the decision "gang apart" names the third member and 1.5 s
+
+  Scenario: A member that ends alone is logged with the state of the others
+    Guards against an end of which the log does not say what the leader believed.
+    Given a gang of 3 of which two members are running and one is sent
+    When the first member ends alone
+    Then the decision "member ended alone" names the others as active and sent
+
+  Scenario: The load of a leader is reported once a second
+    Guards against a late order whose log does not tell processor, link and queue apart.
+    Given a leader's load
+    When it records a pass of 0.2 s, a delay of 0.4 s, and an unanswered order for 1 s
+    Then its next report has these figures, and the one after it has none of them
--- a/features/support/fake_workers.py
+++ b/features/support/fake_workers.py
@@ -161,7 +161,9 @@
     def step_down(self, reason: str) -> None:
         raise AssertionError(reason)
 
-    def record_order(self, kind: str, waited_s: float, took_s: float) -> None:
+    def record_order(
+        self, kind: str, waited_s: float, took_s: float, *, answered: bool
+    ) -> None:
         self.order_waits_s.append(waited_s)
 
     async def lead(self, until_s: float) -> None:
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -23,6 +23,9 @@
 """Time until an unanswered stop order is sent again; longer than the timeout of its
 answer, so that only one is in flight at a time."""
 
+NOTED_START_SPREAD_S = 1.0
+"""Seconds between the starts of a gang's members from which they are logged."""
+
 DecisionLogger = Callable[..., None]
 """Logs a decision by its name and its inputs."""
 
@@ -243,6 +246,22 @@
             placement.last_answer_at = now
         if unit is not None and unit.job.state is JobState.QUEUED:
             unit.job.state = JobState.RUNNING
+        if unit is not None and placement.ran_from_start:
+            self._note_spread(unit, placement)
+
+    def _note_spread(self, unit: Unit, last: Placement) -> None:
+        """Log a gang whose members started far apart: the first ones waited."""
+        spread_s = unit.measure_start_spread()
+        if spread_s is not None and spread_s >= NOTED_START_SPREAD_S:
+            self.note(
+                "gang apart",
+                job=unit.job.accepted.job_id,
+                step=unit.step_index,
+                run=unit.run,
+                spread_s=round(spread_s, 3),
+                index=last.task.index,
+                worker=last.worker_id,
+            )
 
     def _order_stop(self, placement: Placement) -> None:
         placement.phase = Phase.STOPPING
@@ -308,6 +327,8 @@
             unit.state = UnitState.DONE
             self._check_completed(unit.job)
             return
+        if ending == "alone":
+            self._note_alone(unit, placement)
         self.note(
             "run ended",
             job=unit.job.accepted.job_id,
@@ -319,6 +340,21 @@
         )
         self._abort_run(unit)
 
+    def _note_alone(self, unit: Unit, placement: Placement) -> None:
+        """Log what the leader believed of all members when one ended alone."""
+        others = sorted(unit.placements.items())
+        self.note(
+            "member ended alone",
+            job=unit.job.accepted.job_id,
+            step=unit.step_index,
+            run=placement.run,
+            index=placement.task.index,
+            worker=placement.worker_id,
+            active_at=round(placement.active_at, 3),
+            others=[f"{i} {p.phase.value} {p.worker_id}" for i, p in others],
+            gone=len(unit.indices) - len(others) - 1,
+        )
+
     def _retry_or_fail(self, unit: Unit) -> None:
         """Return a unit whose run is over to waiting, or fail its job."""
         if unit.placements or unit.state is not UnitState.BUSY:
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -144,6 +144,16 @@
         """
         return 0 < len(self.placements) < len(self.indices)
 
+    def measure_start_spread(self) -> float | None:
+        """Return the seconds between the first and the last start of a whole gang.
+
+        None for a single task, or unless all members are active.
+        """
+        if len(self.indices) == 1 or not self.all_active:
+            return None
+        times = [p.active_at for p in self.placements.values()]
+        return max(times) - min(times)
+
     @property
     def active_since(self) -> float:
         """Return when the last of the unit's tasks became active."""
--- a/src/firladder/_internal/node/progress_writer.py
+++ b/src/firladder/_internal/node/progress_writer.py
@@ -44,14 +44,19 @@
         revisions: dict[str, int],
         clock: Clock,
         on_durable: Callable[[], None],
+        on_write: Callable[[float], None] = lambda _took_s: None,
     ) -> None:
-        """Write while the leader's key has the revision ``token``."""
+        """Write while the leader's key has the revision ``token``.
+
+        ``on_write`` receives how long each write took, in seconds.
+        """
         self._core = core
         self._store = store
         self._token = token
         self._revisions = revisions
         self._clock = clock
         self._on_durable = on_durable
+        self._on_write = on_write
         self._wake = asyncio.Event()
         self.writes = 0
 
@@ -81,10 +86,12 @@
         expected = [(LEADER, self._token)]
         expected += [(PROGRESS + i, self._revisions.get(i, 0)) for i in jobs]
         self.writes += 1
+        began_at = self._clock.read_monotonic()
         result = await self._store.commit(
             expected=expected,
             writes=[Write(PROGRESS + i, self._encode(j)) for i, j in jobs.items()],
         )
+        self._on_write(self._clock.read_monotonic() - began_at)
         if isinstance(result, int):
             for job_id, version in versions.items():
                 self._revisions[job_id] = result
--- a/src/firladder/_internal/node/session_context.py
+++ b/src/firladder/_internal/node/session_context.py
@@ -27,7 +27,9 @@
     def request_pass(self) -> None:
         """Schedule a planning pass and a write of changed jobs."""
 
-    def record_order(self, kind: str, waited_s: float, took_s: float) -> None:
+    def record_order(
+        self, kind: str, waited_s: float, took_s: float, *, answered: bool
+    ) -> None:
         """Record how long a sent order was queued and how long its answer took."""
 
     def spawn(self, work: Coroutine[Any, Any, T], *, name: str) -> asyncio.Task[T]:
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -28,6 +28,7 @@
 from .election import Leadership
 from .evacuations import Evacuations
 from .keys import CANCELS, JOBS, PROGRESS, SUBMISSIONS
+from .leader_load import LeaderLoad
 from .prefix_watch import PrefixWatch
 from .progress_writer import ProgressWriter
 from .retention import Retention
@@ -56,6 +57,12 @@
 """Seconds before a failed listing is retried."""
 
 
+PRIORITY_DECISIONS = frozenset(
+    ("gang apart", "member ended alone", "runs lapsed", "worker lost")
+)
+"""Decisions that are logged although routine lines are dropped."""
+
+
 class Term:
     """Leads the fleet from an election until the leadership ends."""
 
@@ -79,6 +86,7 @@
         self.core = Core(lease_s=settings.max_lease_s, note=self._record_decision)
         self.calls = calls
         self.timeout_estimator = TimeoutEstimator()
+        self._leader_load = LeaderLoad()
         self.clock = clock
         self.leadership = leadership
         self._store = store
@@ -106,6 +114,7 @@
             revisions=self._revisions,
             clock=clock,
             on_durable=self._on_durable,
+            on_write=self._leader_load.record_write,
         )
 
         self._retention = Retention(
@@ -141,8 +150,11 @@
         """Schedule a planning pass and a write of changed jobs."""
         self._pass_requested.set()
 
-    def record_order(self, kind: str, waited_s: float, took_s: float) -> None:
+    def record_order(
+        self, kind: str, waited_s: float, took_s: float, *, answered: bool
+    ) -> None:
         """Record how long a sent order was queued and how long its answer took."""
+        self._leader_load.record_order(waited_s, took_s, answered=answered)
         self._on_order(kind, waited_s, took_s)
 
     def adopt_configuration(self, configuration: QueueConfiguration) -> None:
@@ -374,6 +386,7 @@
         now = self.clock.read_monotonic()
         self.passes += 1
         self._planner.run_pass(now=now, wall=self.clock.read_wall())
+        self._leader_load.record_pass(self.clock.read_monotonic() - now)
         self._progress_writer.wake()
         self._dispatch_orders(now)
 
@@ -394,8 +407,10 @@
 
     async def _tick_forever(self) -> None:
         while True:
+            due_at = self.clock.read_monotonic() + TICK_S
             await asyncio.sleep(TICK_S)
             now = self.clock.read_monotonic()
+            self._report_load(now, lag_s=now - due_at)
             self.core.expire_runs(now)
             self.core.abort_stalled_runs(now)
             self._planner.move_off_draining(now)
@@ -403,5 +418,15 @@
                 session.wake()
             self._plan_once()
 
+    def _report_load(self, now: float, *, lag_s: float) -> None:
+        self._leader_load.record_lag(lag_s)
+        queued = [session.queued_orders for session in self._sessions.values()]
+        report = self._leader_load.take_report(now, queued=queued)
+        if report is not None:
+            timeout_s = round(self.timeout_estimator.timeout_s, 3)
+            self._timeline.record(Event.LEADER_LOAD, timeout_s=timeout_s, **report)
+
     def _record_decision(self, what: str, **inputs: object) -> None:
-        self._timeline.record(Event.CORE_DECIDED, what=what, **inputs)
+        self._timeline.record(
+            Event.CORE_DECIDED, priority=what in PRIORITY_DECISIONS, what=what, **inputs
+        )
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -17,6 +17,7 @@
     WorkerReplaced,
 )
 from ..models.order import WorkerReport
+from ..utils.logs import PRIORITY_ATTRIBUTE
 from .orders import Order, OrderQueue
 from .session_context import SessionContext
 from .timeout_estimator import MAX_TIMEOUT_S
@@ -55,6 +56,9 @@
 number. With a single attempt, a gang of a dozen seldom starts while one order in five
 is lost."""
 
+LATE_ORDER_WAIT_S = 1.0
+"""Seconds in the queue from which an order is logged, whatever its answer."""
+
 DURABLE_WAIT_S = 0.25
 """Maximum seconds that a poll is delayed until the ended runs it would acknowledge are
 durable. A worker answers at once while it has unacknowledged ends."""
@@ -372,12 +376,15 @@
         self, order: Order, answer: float | OrderFailure, *, sent_at: float, now: float
     ) -> None:
         waited_s, took_s = sent_at - order.queued_at, now - sent_at
-        self._context.record_order(order.kind, waited_s, took_s)
-        if isinstance(answer, float):
+        answered = not isinstance(answer, SentUnanswered | NotSent)
+        self._context.record_order(order.kind, waited_s, took_s, answered=answered)
+        late = waited_s >= LATE_ORDER_WAIT_S
+        if isinstance(answer, float) and not late:
             return
         logger.info(
-            "order not taken",
+            "order taken late" if isinstance(answer, float) else "order not taken",
             extra={
+                PRIORITY_ATTRIBUTE: late,
                 "kind": order.kind,
                 "job": order.placement.task.job_id,
                 "index": order.placement.task.index,
@@ -386,6 +393,6 @@
                 "waited_s": round(waited_s, 3),
                 "took_s": round(took_s, 3),
                 "queued": self.queued_orders,
-                "reason": answer.reason,
+                "reason": "" if isinstance(answer, float) else answer.reason,
             },
         )
--- a/src/firladder/_internal/scheduler/leadership.py
+++ b/src/firladder/_internal/scheduler/leadership.py
@@ -7,6 +7,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
@@ -251,7 +252,7 @@
         self._change_state("lose", Event.LEADERSHIP_LOST, reason=reason)
         self.epoch = 0
 
-    def _change_state(self, event: str, record: Event, **details: str) -> None:
+    def _change_state(self, event: str, record: Event, **details: Any) -> None:
         illegal = self._chart.fire(event)
         assert illegal is None, illegal
         self._timeline.record(record, epoch=self.epoch, **details)
--- a/src/firladder/_internal/utils/events.py
+++ b/src/firladder/_internal/utils/events.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from .clocks import Clock, LogicalClock
+from .logs import PRIORITY_ATTRIBUTE
 
 logger = logging.getLogger("firladder.events")
 
@@ -80,6 +81,7 @@
     CORE_DECIDED = (541, "scheduling decision")
     DOMAIN_EVACUATED = (542, "failure domain gets no new work")
     DOMAIN_RESTORED = (543, "failure domain gets work again")
+    LEADER_LOAD = (544, "load of the leader")
 
     @property
     def number(self) -> int:
@@ -92,6 +94,25 @@
         return str(self.value[1])
 
 
+ROUTINE_EVENTS = frozenset(
+    (
+        Event.REQUEST_ADMITTED,
+        Event.REQUEST_SENT,
+        Event.REQUEST_ENDED,
+        Event.REQUEST_RELAYED,
+        Event.JOB_ACCEPTED,
+        Event.JOB_CANCEL_ACCEPTED,
+        Event.JOB_ENDED,
+        Event.SUBMISSION_ANSWERED,
+        Event.CANCELLATION_ANSWERED,
+        Event.JOB_STATE_UNKNOWN,
+        Event.CALL_REJECTED,
+        Event.CORE_DECIDED,
+    )
+)
+"""Events that occur with each request. Their lines are dropped first."""
+
+
 class EventRecord(msgspec.Struct, frozen=True):
     """One event of one process.
 
@@ -137,12 +158,25 @@
         """
         return self.logical.advance()
 
-    def record(self, event: Event, **details: Any) -> EventRecord:
-        """Record an event on the timeline and in the log."""
-        return self.record_at(self.logical.advance(), event, **details)
+    def record(
+        self, event: Event, /, *, priority: bool = False, **details: Any
+    ) -> EventRecord:
+        """Record an event on the timeline and in the log.
+
+        ``priority`` lets a routine event be logged although others are dropped.
+        """
+        return self.record_at(
+            self.logical.advance(), event, priority=priority, **details
+        )
 
     def record_at(
-        self, lamport_time: int, event: Event, /, **details: Any
+        self,
+        lamport_time: int,
+        event: Event,
+        /,
+        *,
+        priority: bool = False,
+        **details: Any,
     ) -> EventRecord:
         """Record an event at a time that ``stamp`` returned earlier."""
         entry = EventRecord(
@@ -164,6 +198,7 @@
                 "event_domain": self._domain,
                 "event_wall": entry.wall,
                 **details,
+                PRIORITY_ATTRIBUTE: priority or event not in ROUTINE_EVENTS,
             },
         )
         return entry
--- a/src/firladder/_internal/utils/logs.py
+++ b/src/firladder/_internal/utils/logs.py
@@ -7,12 +7,35 @@
 
 from .streams import BoundedStream
 
+PRIORITY_ATTRIBUTE = "priority_line"
+"""Attribute of the records that are written although routine lines are dropped."""
+
 _STANDARD_ATTRIBUTES = frozenset(vars(logging.makeLogRecord({}))) | {
     "message",
     "asctime",
+    PRIORITY_ATTRIBUTE,
 }
 
 
+class BoundedHandler(logging.Handler):
+    """Write records to a bounded stream, warnings and marked records with priority."""
+
+    def __init__(self, stream: BoundedStream) -> None:
+        """Write to ``stream``."""
+        super().__init__()
+        self._stream = stream
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record."""
+        priority = record.levelno >= logging.WARNING or bool(
+            getattr(record, PRIORITY_ATTRIBUTE, False)
+        )
+        try:
+            self._stream.write(self.format(record) + "\n", priority=priority)
+        except Exception:
+            self.handleError(record)
+
+
 def _copy_extra(
     _logger: object, _name: str, event: structlog.typing.EventDict
 ) -> structlog.typing.EventDict:
@@ -39,8 +62,11 @@
         structlog.processors.TimeStamper(fmt="iso", utc=True),
         structlog.processors.format_exc_info,
     ]
-    stream = BoundedStream(sys.stdout.fileno()) if to_stdout else sys.stderr
-    handler: logging.Handler = logging.StreamHandler(stream)
+    handler: logging.Handler = (
+        BoundedHandler(BoundedStream(sys.stdout.fileno()))
+        if to_stdout
+        else logging.StreamHandler(sys.stderr)
+    )
     handler.setFormatter(
         structlog.stdlib.ProcessorFormatter(
             foreign_pre_chain=shared,
