--- a/features/steps/engine_gang_start_steps.py
+++ b/features/steps/engine_gang_start_steps.py
@@ -3,6 +3,7 @@
 from features.support.engine_world import EngineWorld, make_job, make_step
 from firladder._internal.engine.state import Phase
 from firladder._internal.exceptions import SentUnanswered
+from firladder._internal.models.order import RunningTask
 
 
 @given("a gang of 3 of which two members are running and one is {third}")
@@ -65,3 +66,78 @@
     engine = context.engine
     stops = engine.core.take_stops(engine.now)
     assert {s.task for s in stops} == {m.task for m in context.members[:2]}, stops
+
+
+@given("a gang of 3 whose members wait 3 s, two of which were started 1 s apart")
+def start_two(context):
+    engine = context.engine = EngineWorld(3)
+    engine.submit(make_job("gang", make_step(3, gang=True)))
+    context.members = engine.start_all()
+    context.first_start_at = engine.now
+    for member in context.members[:2]:
+        engine.core.record_start_sent(member, engine.now)
+        engine.accept([member])
+        engine.now += 1.0
+
+
+@when("the start of the third is still queued {seconds:f} s after the first start")
+def keep_queued(context, seconds):
+    context.engine.now = context.first_start_at + seconds
+    context.engine.core.abort_late_gangs(context.engine.now)
+
+
+@when("the start of the third is only now sent {seconds:f} s after the first start")
+def send_late(context, seconds):
+    engine = context.engine
+    engine.now = context.first_start_at + seconds
+    assert engine.core.abort_late_gang(context.members[2].unit, engine.now)
+
+
+@then("all three members are ordered to stop, 1.4 s before the first would end alone")
+def check_aborted(context):
+    assert context.engine.now <= context.first_start_at + 3.0 - 1.4
+    check_stops(context)
+
+
+@when("a poll reports progress of the first before the start of the third is answered")
+def report_progress(context):
+    engine, first = context.engine, context.members[0]
+    worker = engine.core.workers[first.worker_id]
+    engine.report(worker, [RunningTask(first.task, first.run, "", 1.0)])
+
+
+@then("no member is ordered to stop {seconds:f} s after the first start")
+def check_not_stopped(context, seconds):
+    engine = context.engine
+    engine.now = context.first_start_at + seconds
+    engine.core.abort_late_gangs(engine.now)
+    assert engine.core.take_stops(engine.now) == []
+
+
+@when(
+    "a successor finds the two at {percent:d} percent, and the third's worker is silent"
+)
+def succeed_beside_silence(context, percent):
+    engine = context.engine
+    engine.succeed()
+    for member in context.members[:2]:
+        worker = engine.core.workers[member.worker_id]
+        engine.report(worker, [RunningTask(member.task, member.run, "", percent)])
+    silent = engine.core.workers[context.members[2].worker_id]
+    engine.core.mark_unreachable(silent, engine.now)
+
+
+@then("the successor has stopped all members {seconds:f} s later")
+def check_successor_stops(context, seconds):
+    engine = context.engine
+    engine.now += seconds
+    engine.core.abort_late_gangs(engine.now)
+    stops = engine.core.take_stops(engine.now)
+    assert {s.task for s in stops} == {m.task for m in context.members}, stops
+
+
+@then("the successor has not stopped any member {seconds:f} s later")
+def check_successor_waits(context, seconds):
+    context.engine.now += seconds
+    context.engine.core.abort_late_gangs(context.engine.now)
+    assert context.engine.core.take_stops(context.engine.now) == []
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -128,6 +128,7 @@
             # If its time counted from now, a run that a former leader started would
             # look new, and be preempted first although it may be almost done.
             worked_s = self.estimate_run(unit) * percent / DONE_PERCENT
+            self.record_start_sent(placement, now)
             self._activate(placement, now, worked_s=worked_s)
         record_progress(placement, percent, now)
         if unit is not None:
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -12,6 +12,7 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 from ..models.order import Ending, StartOrder, StopOrder
@@ -26,6 +27,14 @@
 NOTED_START_SPREAD_S = 1.0
 """Seconds between the starts of a gang's members from which they are logged."""
 
+START_WINDOW_SHARE = 0.5
+"""Share of the time for which members wait for each other within which all members of
+a gang must have started. The rest is left for the stops: a member that is not stopped
+in time has held its worker for nothing."""
+
+DEFAULT_MEMBER_WAIT_S = 3.0
+"""Seconds that a gang's member waits for the others, unless the platform says more."""
+
 DecisionLogger = Callable[..., None]
 """Logs a decision by its name and its inputs."""
 
@@ -38,10 +47,18 @@
     """The runs of all units on all workers, and the orders that are due."""
 
     def __init__(
-        self, *, lease_s: float, note: DecisionLogger = _discard_decision
+        self,
+        *,
+        lease_s: float,
+        member_wait_s: float = DEFAULT_MEMBER_WAIT_S,
+        note: DecisionLogger = _discard_decision,
     ) -> None:
-        """Grant leases of ``lease_s`` seconds."""
+        """Grant leases of ``lease_s`` seconds.
+
+        A gang's member that has waited ``member_wait_s`` for the others ends by itself.
+        """
         self.lease_s = lease_s
+        self._start_window_s = START_WINDOW_SHARE * member_wait_s
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
         self.configuration = QueueConfiguration(0)
@@ -88,6 +105,7 @@
         """Assign a unit's tasks to workers under a new run number."""
         unit.run += 1
         unit.state = UnitState.BUSY
+        unit.first_start_at = None
         for index, worker_id in zip(unit.indices, workers, strict=True):
             task = unit.name_task(index)
             placement = Placement(
@@ -153,6 +171,46 @@
         if placement.phase is Phase.STOPPING:
             self._resolve(worker, placement, None)
 
+    def record_start_sent(self, placement: Placement, now: float) -> None:
+        """Record that a start is sent: from now on its unit's members may wait."""
+        unit = placement.unit
+        if unit is not None and unit.first_start_at is None:
+            unit.first_start_at = now
+
+    def abort_late_gang(self, unit: Unit, now: float) -> bool:
+        """Abort a gang whose members have not all started in time; return whether.
+
+        The members at work would wait until they end by themselves, and what kept the
+        other starts back may keep back the stops as well.
+        """
+        if not unit.starts or unit.first_start_at is None:
+            return False
+        waited_s = now - unit.first_start_at
+        if waited_s < self._start_window_s:
+            return False
+        phases = Counter(p.phase.value for p in unit.placements.values())
+        self.note(
+            "gang aborted",
+            job=unit.job.accepted.job_id,
+            step=unit.step_index,
+            run=unit.run,
+            waited_s=round(waited_s, 3),
+            members=dict(phases),
+        )
+        self._abort_run(unit)
+        return True
+
+    def abort_late_gangs(self, now: float) -> None:
+        """Abort all gangs whose members have not all started in time."""
+        starting = {
+            id(p.unit): p.unit
+            for worker in self.workers.values()
+            for p in worker.placements.values()
+            if p.phase in (Phase.SENT, Phase.RECOVERED) and p.unit is not None
+        }
+        for unit in starting.values():
+            self.abort_late_gang(unit, now)
+
     def take_stops(self, now: float) -> list[Placement]:
         """Return the placements whose stop order is due, including repeated ones."""
         self.stops.clear()
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -97,7 +97,8 @@
     ``failed_runs`` has the numbers of the runs of which a task failed, not a count: a
     run's failure may be listed by several members, again to a new leader, and long
     after the run was aborted. A preempted unit is not planned again before
-    ``backoff_until``.
+    ``backoff_until``. ``first_start_at`` is when the first start of the current run
+    was sent, or None.
     """
 
     job: "Job"
@@ -114,6 +115,7 @@
     planned_version: int = 0
     backoff_until: float = 0.0
     avoided: set[str] = dataclasses.field(default_factory=set)
+    first_start_at: float | None = None
 
     @property
     def step(self) -> Step:
@@ -144,6 +146,20 @@
         """
         return 0 < len(self.placements) < len(self.indices)
 
+    @property
+    def starts(self) -> bool:
+        """Return whether some members of a gang's run may wait for others to start.
+
+        A member that reports progress proves that all of them have started.
+        """
+        return (
+            self.state is UnitState.BUSY
+            and len(self.indices) > 1
+            and self.first_start_at is not None
+            and not self.all_active
+            and not any(p.percent > 0 for p in self.placements.values())
+        )
+
     def measure_start_spread(self) -> float | None:
         """Return the seconds between the first and the last start of a whole gang.
 
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -58,7 +58,7 @@
 
 
 PRIORITY_DECISIONS = frozenset(
-    ("gang apart", "member ended alone", "runs lapsed", "worker lost")
+    ("gang aborted", "gang apart", "member ended alone", "runs lapsed", "worker lost")
 )
 """Decisions that are logged although routine lines are dropped."""
 
@@ -83,7 +83,11 @@
         self._load_timeout_s = load_timeout_s
         self._on_order = on_order
         self.load_timed_out = False
-        self.core = Core(lease_s=settings.max_lease_s, note=self._record_decision)
+        self.core = Core(
+            lease_s=settings.max_lease_s,
+            member_wait_s=settings.member_wait_s,
+            note=self._record_decision,
+        )
         self.calls = calls
         self.timeout_estimator = TimeoutEstimator()
         self._leader_load = LeaderLoad()
@@ -412,6 +416,7 @@
             now = self.clock.read_monotonic()
             self._report_load(now, lag_s=now - due_at)
             self.core.expire_runs(now)
+            self.core.abort_late_gangs(now)
             self.core.abort_stalled_runs(now)
             self._planner.move_off_draining(now)
             for session in list(self._sessions.values()):
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -282,6 +282,8 @@
         worker, context, placement = self._worker, self._context, order.placement
         await self._await_reachable()
         self._orders.mark_start_sent(order)
+        if placement.unit is not None:
+            self._core.abort_late_gang(placement.unit, context.clock.read_monotonic())
         if placement.phase is not Phase.SENT:
             self._core.drop_unsent(placement)
             return
@@ -296,6 +298,7 @@
             self._core.handle_start_answer(placement, dropped, sent_at)
             return
         grant = leases.record_grant_sent(worker, now=sent_at, lease_s=lease_s)
+        self._core.record_start_sent(placement, sent_at)
         for _ in range(MAX_START_ATTEMPTS):
             answer = await self._send_start(order, deadline_s)
             if not isinstance(answer, SentUnanswered):
--- a/src/firladder/_internal/platform/settings.py
+++ b/src/firladder/_internal/platform/settings.py
@@ -23,6 +23,8 @@
     # How long the status of an ended job stays available.
     status_s: float = 120
     reclaim_ms: float = 2700
+    # How long a member of a gang waits for the others before it ends by itself.
+    gang_timeout_ms: float = 3000
     # A task that is stopped saves its progress first, so that a stop costs only
     # these two times.
     stop_grace_ms: float = 200
@@ -60,6 +62,7 @@
     is the port on which processes of the fleet listen for each other.
     ``retention_s`` is how long the status of an ended job stays available.
     ``restart_s`` is the time that a checkpointing task loses when it is stopped.
+    ``member_wait_s`` is how long a gang's member waits for the others to start.
     ``processor_cores`` and ``link_mbps`` are the VM's capacity.
     """
 
@@ -76,6 +79,7 @@
     retention_s: float
     reclaim_s: float
     restart_s: float
+    member_wait_s: float
     processor_cores: float
     link_mbps: float
 
@@ -108,6 +112,7 @@
         retention_s=bounds.status_s,
         reclaim_s=bounds.reclaim_ms / 1000,
         restart_s=(bounds.stop_grace_ms + bounds.restore_ms) / 1000,
+        member_wait_s=bounds.gang_timeout_ms / 1000,
         processor_cores=wire.limits.cpu_share * wire.limits.cores,
         link_mbps=wire.limits.link_mbps,
     )
