--- a/features/node_orders.feature
+++ b/features/node_orders.feature
@@ -54,3 +54,27 @@
     Given a leader of 2 workers, one of which accepts no connection
     When a job of 8 small tasks is submitted
     Then all of them are active within 1 s
+
+  Scenario: A stop does not wait for the repetitions of a lost start
+    Guards against stops that come later than a gang's members wait for each other.
+    Given a leader whose worker has one active task
+    When the start of another task is lost 3 times, and the first is stopped meanwhile
+    Then its stop is sent within 0.2 s
+
+  Scenario: Starts do not wait for the repetitions of lost ones
+    Guards against queues in which each lost order delays all others to its worker.
+    Given a leader whose worker has one active task
+    When a job of 7 tasks is submitted, and the next 6 starts are lost
+    Then 7 of its starts were sent within 1.2 s
+
+  Scenario: A silent worker gets only a few orders at once
+    Guards against ever more orders in flight to a worker that does not answer.
+    Given a leader whose worker has one active task
+    When a job of 7 tasks is submitted, and the next 99 starts are lost
+    Then 5 of its starts were sent within 0.9 s
+
+  Scenario: An order is overdue soon where answers are fast, and later where they are slow
+    Guards against many orders in flight over a full link.
+    Given a leader of one worker, all of whose answers take 0.3 s
+    When a job of 6 tasks is submitted
+    Then an order is overdue after 0.3 s or more
--- a/features/steps/node_order_steps.py
+++ b/features/steps/node_order_steps.py
@@ -210,3 +210,61 @@
     run_in_virtual_time(context.leader.lead(float(seconds)))
     units = context.leader.core.jobs["small"].units
     assert all(unit.all_active for unit in units), units
+
+
+def lead_and_lose(context, lost, then_do):
+    """Lead for 1 s, lose the next ``lost`` starts, call ``then_do``, lead for 3 s."""
+    leader = context.leader
+
+    async def lose():
+        leading = asyncio.create_task(leader.lead(4.0))
+        await asyncio.sleep(1.0)
+        leader.calls.lost = ["start"] * lost
+        then_do(leader)
+        leader.request_pass()
+        await leading
+
+    run_in_virtual_time(lose())
+
+
+@when("the start of another task is lost 3 times, and the first is stopped meanwhile")
+def stop_beside_lost_start(context):
+    def submit_and_cancel(leader):
+        leader.engine.submit(make_job("lost", make_step(1, 1), priority=0))
+
+        def cancel():
+            context.cancelled_at = leader.clock.read_monotonic()
+            leader.core.cancel_job("long")
+            leader.request_pass()
+
+        asyncio.get_running_loop().call_later(0.05, cancel)
+
+    lead_and_lose(context, 3, submit_and_cancel)
+
+
+@then("its stop is sent within {seconds:f} s")
+def check_stop_sent(context, seconds):
+    sent = context.leader.calls.sent
+    (stop,) = (s for s in sent if s.kind == "stop" and s.task.job_id == "long")
+    assert stop.at - context.cancelled_at <= seconds, sent
+
+
+@when("a job of 7 tasks is submitted, and the next {lost:d} starts are lost")
+def lose_starts(context, lost):
+    def submit(leader):
+        leader.engine.submit(make_job("seven", make_step(7, 1)))
+
+    lead_and_lose(context, lost, submit)
+
+
+@then("{count:d} of its starts were sent within {seconds:f} s")
+def check_sent(context, count, seconds):
+    sent = [s for s in context.leader.calls.sent if s.kind == "start"]
+    until = 1.0 + seconds
+    in_time = {s.task for s in sent if s.task.job_id == "seven" and s.at <= until}
+    assert len(in_time) == count, sent
+
+
+@then("an order is overdue after {seconds:f} s or more")
+def check_overdue(context, seconds):
+    assert context.leader.timeout_estimator.overdue_s >= seconds
--- a/src/firladder/_internal/node/timeout_estimator.py
+++ b/src/firladder/_internal/node/timeout_estimator.py
@@ -9,6 +9,9 @@
 """Maximum timeout of an order, in seconds, and how long a late answer is accepted: the
 worker may be gone."""
 
+MIN_OVERDUE_S = 0.1
+"""Minimum seconds after which an answer counts as overdue."""
+
 MEAN_WEIGHT = 1 / 8
 """Weight of a new sample in the mean, as in RFC 6298."""
 
@@ -35,8 +38,21 @@
     @property
     def timeout_s(self) -> float:
         """Return the current timeout of an order, in seconds."""
-        usual_s = (self._mean_s or 0.0) + TIMEOUT_DEVIATIONS * self._mean_deviation_s
-        return min(MAX_TIMEOUT_S, max(MIN_TIMEOUT_S, usual_s))
+        return min(MAX_TIMEOUT_S, max(MIN_TIMEOUT_S, self._longest_usual_s))
+
+    @property
+    def overdue_s(self) -> float:
+        """Return after how many seconds an answer is later than usual.
+
+        At most the timeout, and equal to it before any answer was recorded.
+        """
+        if self._mean_s is None:
+            return self.timeout_s
+        return min(self.timeout_s, max(MIN_OVERDUE_S, self._longest_usual_s))
+
+    @property
+    def _longest_usual_s(self) -> float:
+        return (self._mean_s or 0.0) + TIMEOUT_DEVIATIONS * self._mean_deviation_s
 
     def record_answer(self, took_s: float) -> None:
         """Add the response time of an answer, in time or late."""
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -56,6 +56,9 @@
 number. With a single attempt, a gang of a dozen seldom starts while one order in five
 is lost."""
 
+MAX_OVERDUE_ORDERS = 4
+"""Maximum orders of one worker in flight whose answers are overdue."""
+
 LATE_ORDER_WAIT_S = 1.0
 """Seconds in the queue from which an order is logged, whatever its answer."""
 
@@ -265,18 +268,36 @@
         self._context.request_pass()
 
     async def send_orders(self) -> None:
-        """Send the queued orders one at a time until the worker is removed."""
+        """Send the queued orders until the worker is removed.
+
+        One order is in flight at a time, which limits the load of a slow link or
+        processor. An overdue one no longer holds up the others: while orders are lost,
+        starts and stops would wait in the queue for longer than a gang's members wait
+        for each other.
+        """
+        in_flight: set[asyncio.Task[None]] = set()
         while not self._removed:
             order = await self._orders.take()
-            if order.start:
-                await self._start(order)
-            else:
-                await self._stop(order)
-                self._orders.mark_stop_answered(order)
-            if not self._orders or not self._worker.reachable:
-                await self._poll_without_wait()
-            self.wake()
-            self._context.request_pass()
+            task = self._context.spawn(
+                self._execute(order), name=f"order-{self._worker.worker_id}"
+            )
+            in_flight.add(task)
+            task.add_done_callback(in_flight.discard)
+            overdue_s = self._context.timeout_estimator.overdue_s
+            await asyncio.wait((task,), timeout=overdue_s)
+            while len(in_flight) > MAX_OVERDUE_ORDERS:
+                await asyncio.wait(in_flight, return_when=asyncio.FIRST_COMPLETED)
+
+    async def _execute(self, order: Order) -> None:
+        if order.start:
+            await self._start(order)
+        else:
+            await self._stop(order)
+            self._orders.mark_stop_answered(order)
+        if not self._orders or not self._worker.reachable:
+            await self._poll_without_wait()
+        self.wake()
+        self._context.request_pass()
 
     async def _start(self, order: Order) -> None:
         worker, context, placement = self._worker, self._context, order.placement
