--- /dev/null
+++ b/src/firladder/_internal/node/pass_loop.py
@@ -0,0 +1,45 @@
+"""Run planning passes when something has changed, without using up the processor."""
+
+import asyncio
+from collections.abc import Callable
+
+from ..utils.clocks import Clock
+
+MIN_PAUSE_S = 0.004
+"""Seconds for which events are collected before a pass; the tasks of a gang end within
+a few milliseconds of each other."""
+
+PAUSE_RATIO = 2.0
+"""Minimum pause before a pass, as a multiple of how long the last one took. On a small
+VM passes would otherwise use most of the processor, and orders and their answers would
+wait for seconds."""
+
+
+def choose_pause_s(last_pass_s: float) -> float:
+    """Return the pause before the next pass, in seconds."""
+    return max(MIN_PAUSE_S, PAUSE_RATIO * last_pass_s)
+
+
+class PassLoop:
+    """Runs a pass after each request; requests during a pause share one pass."""
+
+    def __init__(self, *, run_pass: Callable[[], None], clock: Clock) -> None:
+        """Call ``run_pass`` for each pass and measure it by ``clock``."""
+        self._run_pass = run_pass
+        self._clock = clock
+        self._requested = asyncio.Event()
+
+    def request(self) -> None:
+        """Schedule a pass."""
+        self._requested.set()
+
+    async def run(self) -> None:
+        """Run the requested passes until cancelled."""
+        last_pass_s = 0.0
+        while True:
+            await self._requested.wait()
+            await asyncio.sleep(choose_pause_s(last_pass_s))
+            self._requested.clear()
+            began_at = self._clock.read_monotonic()
+            self._run_pass()
+            last_pass_s = self._clock.read_monotonic() - began_at
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -29,6 +29,7 @@
 from .evacuations import Evacuations
 from .keys import CANCELS, JOBS, PROGRESS, SUBMISSIONS
 from .leader_load import LeaderLoad
+from .pass_loop import PassLoop
 from .prefix_watch import PrefixWatch
 from .progress_writer import ProgressWriter
 from .retention import Retention
@@ -45,10 +46,6 @@
 TICK_S = 0.25
 """Seconds between two checks for expired runs, stalled runs and repeated stops."""
 
-PASS_DELAY_S = 0.004
-"""Seconds for which events are collected before a planning pass; the tasks of a gang
-end within a few milliseconds of each other."""
-
 LOAD_TIMEOUT_S = 4.0
 """Timeout for reading the records, in seconds. A slower leader resigns in favour of a
 node with a better connection to the store, as nothing is scheduled meanwhile."""
@@ -107,7 +104,7 @@
         self._revisions: dict[str, int] = {}
         self._sessions: dict[str, WorkerSession] = {}
         self._ended: asyncio.Future[str] = asyncio.get_running_loop().create_future()
-        self._pass_requested = asyncio.Event()
+        self._pass_loop = PassLoop(run_pass=self._plan_once, clock=clock)
         self._entry_revisions: dict[str, int] = {}
         self.ready = False
         self.passes = 0
@@ -152,7 +149,7 @@
 
     def request_pass(self) -> None:
         """Schedule a planning pass and a write of changed jobs."""
-        self._pass_requested.set()
+        self._pass_loop.request()
 
     def record_order(
         self, kind: str, waited_s: float, took_s: float, *, answered: bool
@@ -199,7 +196,7 @@
         self.ready = True
         writer = self._tasks.spawn(self._progress_writer.run(), name="journal")
         writer.add_done_callback(self._on_progress_writer_end)
-        self._tasks.spawn(self._plan_forever(), name="plan")
+        self._tasks.spawn(self._pass_loop.run(), name="plan")
         self._tasks.spawn(self._tick_forever(), name="tick")
         self._tasks.spawn(self._retention.run(), name="retention")
 
@@ -379,13 +376,6 @@
 
     # -- planning and orders -------------------------------------------------------
 
-    async def _plan_forever(self) -> None:
-        while True:
-            await self._pass_requested.wait()
-            await asyncio.sleep(PASS_DELAY_S)
-            self._pass_requested.clear()
-            self._plan_once()
-
     def _plan_once(self) -> None:
         now = self.clock.read_monotonic()
         self.passes += 1
@@ -421,7 +411,7 @@
             self._planner.move_off_draining(now)
             for session in list(self._sessions.values()):
                 session.wake()
-            self._plan_once()
+            self.request_pass()
 
     def _report_load(self, now: float, *, lag_s: float) -> None:
         self._leader_load.record_lag(lag_s)
