--- a/src/firladder/_internal/engine/estimates.py
+++ b/src/firladder/_internal/engine/estimates.py
@@ -1,5 +1,7 @@
 """Estimate run times, and limit backfilling in front of waiting gangs."""
 
+from collections.abc import Collection
+
 from .core import Core
 from .placement import Candidate, count_fitting_if_empty, group_by_rack, list_suitable
 from .state import Phase, Unit
@@ -74,7 +76,14 @@
             )
         return cached
 
-    def limit_backfill(self, unit: Unit, pool: list[Candidate], now: float) -> bool:
+    def limit_backfill(
+        self,
+        unit: Unit,
+        pool: list[Candidate],
+        now: float,
+        *,
+        avoided: Collection[str],
+    ) -> bool:
         """Limit backfilling on the workers where the gang can start soonest.
 
         Without this, a steady stream of small tasks starves a large gang: each task
@@ -83,7 +92,7 @@
         enough workers for the gang.
         """
         step = unit.step
-        suitable = list_suitable(step, pool, unit.avoided)
+        suitable = list_suitable(step, pool, avoided)
         groups = group_by_rack(suitable) if step.one_rack else [suitable]
         best: tuple[float, list[Candidate]] | None = None
         for group in groups:
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -62,6 +62,12 @@
 accelerators for all that time."""
 
 
+AVOID_MAX_WAIT_S = 2.0
+"""Seconds for which a unit waits for other workers than those where it failed or stood
+still. They may be too few, in use by work that never ends, or all far from its data; a
+worker at which several jobs fail is quarantined anyway."""
+
+
 class Planner:
     """Plans passes; only reservations for preempting units outlast a pass."""
 
@@ -79,6 +85,7 @@
         self._queues: dict[str, Queue] = {}
         self._idle_pools: set[str] = set()
         self._evacuated_racks: set[str] = set()
+        self._racks: set[str] = set()
         self._shortages = Shortages()
         self._largest_racks: dict[tuple[str, Resources], int] = {}
         self.next_due_s: float | None = None
@@ -98,6 +105,7 @@
         self._evacuated_racks = {
             w.rack for w in core.workers.values() if w.rack and core.is_evacuated(w)
         }
+        self._racks = {w.rack for w in core.workers.values() if w.registered}
         waiting = sorted(
             self._list_waiting(now, wall), key=lambda unit: self._rank(unit, wall)
         )
@@ -129,13 +137,18 @@
                 self._plan(unit, workers, pool)
                 planned += 1
                 continue
-            blocked.add(step_key)
+            if not unit.avoided:
+                # Otherwise the unit may wait for a worker that only it avoids.
+                blocked.add(step_key)
             if job.accepted.priority == 0 and self._preempt_for(unit, pool, now):
                 continue
             if len(unit.indices) == 1 or protected_gangs >= MAX_PROTECTED_GANGS:
                 continue
             if not unit.step.one_rack or self._needs_one_rack(unit, pool_name, pool):
-                protected_gangs += self._estimates.limit_backfill(unit, pool, now)
+                avoided = self._list_avoided(unit, pool, now)
+                protected_gangs += self._estimates.limit_backfill(
+                    unit, pool, now, avoided=avoided
+                )
         return planned
 
     def _list_candidates(
@@ -194,6 +207,8 @@
                             continue
                         if unit.ready_at < 0:
                             unit.ready_at = now
+                        if unit.waiting_since < 0:
+                            unit.waiting_since = now
                         yield unit
 
     def _is_due(self, job: Job, occurrence: int, wall: float) -> bool:
@@ -281,7 +296,7 @@
     ) -> list[str] | None:
         if demand.run_time_s == ANY_WORKER_S:
             pool = [dataclasses.replace(c, backfill_window_s=math.inf) for c in pool]
-        avoided = self._list_avoided(unit, pool)
+        avoided = self._list_avoided(unit, pool, now)
         found = place_unit(
             unit.step,
             demand.count,
@@ -300,6 +315,9 @@
         if unit.step.rack in self._evacuated_racks:
             # Nothing starts there until the operators end the evacuation.
             return True
+        if unit.step.rack and unit.step.rack not in self._racks:
+            # All its workers have left.
+            return True
         if self._is_starved_in_idle_pool(unit, now, longer_than=SPREAD_IF_IDLE_AFTER_S):
             return True
         waited = now - unit.ready_at
@@ -307,8 +325,12 @@
         late = waited > self._reclaim_s * SPREAD_AFTER_SHARE
         return urgent and late and self._is_guaranteed(unit)
 
-    def _list_avoided(self, unit: Unit, pool: Sequence[Candidate]) -> set[str]:
-        """Return the workers where the unit failed, unless no others are usable."""
+    def _list_avoided(
+        self, unit: Unit, pool: Sequence[Candidate], now: float
+    ) -> set[str]:
+        """Return the workers where the unit failed, unless others are not usable."""
+        if now - unit.waiting_since > AVOID_MAX_WAIT_S:
+            return set()
         usable = list_suitable(unit.step, pool, unit.avoided)
         return unit.avoided if usable else set()
 
@@ -343,7 +365,7 @@
             now=now,
             restart_s=self._restart_s,
         )
-        avoided = self._list_avoided(unit, pool)
+        avoided = self._list_avoided(unit, pool, now)
         found = planner.plan(
             unit, avoided=avoided, spread_allowed=self._may_spread(unit, now)
         )
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -106,6 +106,7 @@
         unit.run += 1
         unit.state = UnitState.BUSY
         unit.first_start_at = None
+        unit.waiting_since = -1.0
         for index, worker_id in zip(unit.indices, workers, strict=True):
             task = unit.name_task(index)
             placement = Placement(
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -97,8 +97,10 @@
     ``failed_runs`` has the numbers of the runs of which a task failed, not a count: a
     run's failure may be listed by several members, again to a new leader, and long
     after the run was aborted. A preempted unit is not planned again before
-    ``backoff_until``. ``first_start_at`` is when the first start of the current run
-    was sent, or None.
+    ``backoff_until``. ``ready_at`` is when the unit could first be planned, and
+    ``waiting_since`` when it could be planned again after its last run; both are
+    negative before. ``first_start_at`` is when the first start of the current run was
+    sent, or None.
     """
 
     job: "Job"
@@ -111,6 +113,7 @@
     checkpoint: str = ""
     checkpoint_at: float = 0.0
     ready_at: float = -1.0
+    waiting_since: float = -1.0
     placements: dict[int, Placement] = dataclasses.field(default_factory=dict)
     planned_version: int = 0
     backoff_until: float = 0.0
