--- /dev/null
+++ b/features/support/gang_faults.py
@@ -0,0 +1,654 @@
+"""Terms of leadership and workers in virtual time, with faults at chosen calls.
+
+The terms, their sessions and the core are the real ones. Workers handle tokens, run
+numbers, leases and gangs as the stand-ins of the platform do, but read a virtual clock.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import itertools
+import json
+import math
+import random
+from collections.abc import Iterable
+
+from features.support.engine_world import QUEUES, make_entry, make_job, make_step
+from features.support.virtual_time import VirtualLoop
+from firladder._internal.engine.progress import encode_accepted
+from firladder._internal.exceptions import (
+    FencedOff,
+    LeaseEnded,
+    NotSent,
+    OrderRejected,
+    SentUnanswered,
+    StoreUncertain,
+    WorkerReplaced,
+)
+from firladder._internal.models.order import EndedTask, RunningTask, WorkerReport
+from firladder._internal.models.workload import AcceptedJob, QueueConfiguration
+from firladder._internal.node.election import LEASE_S as LEADER_LEASE_S
+from firladder._internal.node.keys import CANCELS, JOBS, LEADER
+from firladder._internal.node.term import Term
+from firladder._internal.platform.discovery import WORKER_PREFIX
+from firladder._internal.platform.settings import NodeSettings
+from firladder._internal.platform.store import (
+    Change,
+    Changes,
+    Conflict,
+    Item,
+    Listing,
+)
+from firladder._internal.utils.clocks import LogicalClock
+from firladder._internal.utils.events import Event, Timeline
+from standins.platform_workers import GANG_START_TIMEOUT_S
+
+NO_ANSWER = SentUnanswered(reason="no answer")
+NO_STORE = StoreUncertain(reason="the store does not answer")
+STEP_S = 0.02
+MAX_LEASE_S = 10.0
+HEARTBEAT_S = 1.0
+ENTRY_TTL_S = 3 * HEARTBEAT_S
+ELECTION_S = 0.15
+STORE_S = 0.004
+
+
+class Fate(enum.Enum):
+    """What happens to a call; a late copy is carried out after ``Fault.late_s``."""
+
+    DELIVERED = "delivered"
+    NOT_SENT = "not sent"
+    LOST = "lost"
+    UNANSWERED = "unanswered"
+    LATE = "late"
+    DOUBLED = "doubled"
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """A fate of some calls to one machine, or to all if ``machine`` is None.
+
+    Only call ``number`` of that kind is affected, counted from 1, or each call between
+    ``since`` and ``until`` with the probability ``share``.
+    """
+
+    kind: str
+    machine: int | None
+    fate: Fate
+    number: int | None = None
+    late_s: float = 0.0
+    since: float = 0.0
+    until: float = math.inf
+    share: float = 1.0
+
+
+@dataclasses.dataclass
+class Member:
+    """A started task; ``whole_at`` is when the last member of its run started."""
+
+    task: object
+    run: int
+    size: int
+    started_at: float
+    takes_s: float
+    machine: "Machine"
+    whole_at: float | None = None
+    ended_at: float | None = None
+    how: str = ""
+
+    @property
+    def gang(self):
+        return self.task.job_id, self.task.occurrence, self.task.step, self.run
+
+    def measure_wait(self, now: float) -> float:
+        """Return for how long the member has run without the whole gang."""
+        ends = [t for t in (self.whole_at, self.ended_at) if t is not None]
+        return min(ends, default=now) - self.started_at
+
+
+class Machine:
+    """A worker's machine, and the state of its current incarnation."""
+
+    def __init__(self, number: int, *, accelerators: int, per_rack: int) -> None:
+        self.number = number
+        self._entry = make_entry(number, accelerators=accelerators, per_rack=per_rack)
+        self.lives = 0
+        self.down = False
+        self.registered = True
+        self._begin_life()
+
+    def _begin_life(self) -> None:
+        self.lives += 1
+        self.worker_id = f"{self._entry.worker_id}.{self.lives}"
+        self.token = 0
+        self.running: dict = {}
+        self.highest: dict = {}
+        self.ended: list[EndedTask] = []
+        self.numbers = itertools.count(1)
+        self.lease_until = 0.0
+        self.ended_event = asyncio.Event()
+
+    @property
+    def entry(self):
+        return dataclasses.replace(self._entry, worker_id=self.worker_id)
+
+    def restart(self) -> None:
+        """Begin a new incarnation; the runs of the former one are gone."""
+        self.down = False
+        self._begin_life()
+
+
+class FaultyStore:
+    """The platform's store; ``outages`` are spans in which no call is answered."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, Item] = {}
+        self.changes: list[Change] = []
+        self.revision = 1
+        self.outages: list[tuple[float, float]] = []
+        self.changed = asyncio.Event()
+        self.reachable = True
+
+    def put(self, key: str, value: bytes) -> int:
+        self.revision += 1
+        self.items[key] = Item(key, value, self.revision)
+        self._record(Change(key, value, self.revision))
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._record(Change(key, None, self.revision))
+
+    def _record(self, change: Change) -> None:
+        self.changes.append(change)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def is_down(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return any(since <= now < until for since, until in self.outages)
+
+
+class StoreClient:
+    """One node's view of the store; ``cut`` is set while the node cannot reach it."""
+
+    def __init__(self, store: FaultyStore) -> None:
+        self.store = store
+        self.cut = False
+
+    async def _reach(self, timeout_s: float) -> bool:
+        if self.cut or self.store.is_down():
+            await asyncio.sleep(timeout_s)
+            return False
+        await asyncio.sleep(STORE_S)
+        return True
+
+    async def read_range(self, prefix: str):
+        if not await self._reach(0.8):
+            return NO_STORE
+        items = tuple(i for k, i in self.store.items.items() if k.startswith(prefix))
+        return Listing(items, self.store.revision)
+
+    async def watch(self, prefix, *, after, wait_s, max_bytes=0):
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_s
+        if not await self._reach(wait_s + 0.6):
+            return NO_STORE
+        while True:
+            found = tuple(
+                c
+                for c in self.store.changes
+                if c.revision > after and c.key.startswith(prefix)
+            )
+            left_s = until - loop.time()
+            if found or left_s <= STEP_S / 1000:
+                break
+            waiting = asyncio.ensure_future(self.store.changed.wait())
+            await asyncio.wait({waiting}, timeout=left_s)
+            waiting.cancel()
+        if self.cut or self.store.is_down():
+            await asyncio.sleep(0.6)
+            return NO_STORE
+        return Changes(found, max(after, self.store.revision))
+
+    async def commit(self, *, expected, writes=(), remove=(), timeout_s=0.8):
+        if not await self._reach(timeout_s):
+            return NO_STORE
+        store = self.store
+        held = {k: store.items.get(k, Item(k, b"", 0)) for k, _ in expected}
+        if any(held[key].revision != revision for key, revision in expected):
+            return Conflict(tuple(held.values()))
+        revision = store.revision + 1
+        for write in writes:
+            revision = store.put(write.key, write.value)
+        for key in remove:
+            store.remove(key)
+        return revision
+
+
+class FakeLeadership:
+    """A leadership that lasts until its key is another's; renewed while reachable."""
+
+    def __init__(self, client: StoreClient, token: int) -> None:
+        self.client = client
+        self.token = token
+        self.renewed_at = asyncio.get_running_loop().time()
+
+    @property
+    def lease_valid_until(self) -> float:
+        return self.renewed_at + LEADER_LEASE_S
+
+    async def renew(self) -> LeaseEnded:
+        store = self.client.store
+        while True:
+            if not (self.client.cut or store.is_down()):
+                if store.items[LEADER].revision != self.token:
+                    return LeaseEnded(reason="the key is another's")
+                self.renewed_at = asyncio.get_running_loop().time()
+            await asyncio.sleep(0.45)
+
+    async def resign(self) -> None:
+        """Leave the key; the play elects the successor."""
+
+
+class LoopClock:
+    """Reads the virtual loop, 1 us later each time, so that readings are unique."""
+
+    def __init__(self) -> None:
+        self._shift = 0.0
+
+    def read_monotonic(self) -> float:
+        self._shift += 1e-6
+        return asyncio.get_running_loop().time() + self._shift
+
+    read_wall = read_monotonic
+
+
+class FaultyCalls:
+    """One leader's calls to the machines; ``answer_s`` is the time of a round trip."""
+
+    def __init__(self, play: "GangPlay", token: int, answer_s: float) -> None:
+        self.play = play
+        self.token = token
+        self.answer_s = answer_s
+
+    async def start(self, order, *, deadline_s, send_within_s, timeout_s):
+        return await self._call(
+            "start",
+            order.worker_id,
+            lambda m: self._start(m, order, deadline_s),
+            timeout_s,
+        )
+
+    async def stop(self, order, *, send_within_s, timeout_s):
+        return await self._call(
+            "stop", order.worker_id, lambda m: self._stop(m, order), timeout_s
+        )
+
+    async def poll(
+        self, worker_id, address, *, acknowledged, deadline_s, wait_s, timeout_s
+    ):
+        return await self._call(
+            "poll",
+            worker_id,
+            lambda m: self._poll(m, acknowledged, deadline_s, wait_s),
+            timeout_s,
+        )
+
+    async def _call(self, kind, worker_id, carry_out, timeout_s):
+        play = self.play
+        machine = play.find_machine(worker_id)
+        fault = play.choose_fault(kind, machine.number)
+        play.sent.append((play.now, kind, machine.number, fault.fate.value))
+        if machine.down:
+            await asyncio.sleep(self.answer_s)
+            return NotSent(reason="cannot connect")
+        if fault.fate is Fate.NOT_SENT:
+            await asyncio.sleep(timeout_s)
+            return NotSent(reason="timed out before sending")
+        late = fault.fate is Fate.LATE
+        until = play.now + timeout_s
+        if fault.fate is Fate.LOST:
+            delivery = None
+        else:
+            # A call in flight arrives even if its sender is gone.
+            delivery = play.spawn(
+                self._deliver(machine, worker_id, carry_out, late * fault.late_s)
+            )
+        if fault.fate is Fate.DOUBLED:
+            play.spawn(self._deliver(machine, worker_id, carry_out, fault.late_s))
+        if delivery is not None:
+            await asyncio.wait({delivery}, timeout=timeout_s)
+        answered = fault.fate in (Fate.DELIVERED, Fate.DOUBLED)
+        back_at = play.now + self.answer_s / 2
+        if not answered or not delivery.done() or back_at > until:
+            await asyncio.sleep(max(0.0, until - play.now))
+            return NO_ANSWER
+        await asyncio.sleep(self.answer_s / 2)
+        return delivery.result()
+
+    async def _deliver(self, machine, worker_id, carry_out, after_s):
+        await asyncio.sleep(after_s + self.answer_s / 2)
+        if machine.down:
+            return NO_ANSWER
+        if machine.worker_id != worker_id:
+            return WorkerReplaced(reason="another incarnation")
+        if self.token < machine.token:
+            return FencedOff(reason="fence")
+        machine.token = self.token
+        answer = carry_out(machine)
+        return await answer if asyncio.iscoroutine(answer) else answer
+
+    def _start(self, machine, order, deadline_s):
+        play, key = self.play, (order.task, order.run)
+        play.extend_lease(machine, deadline_s)
+        if key in machine.running:
+            return play.now
+        if order.run <= machine.highest.get(order.task, 0):
+            return OrderRejected(reason="409 old", rejection="superseded")
+        play.begin(machine, order)
+        return play.now
+
+    def _stop(self, machine, order):
+        play = self.play
+        machine.highest[order.task] = max(order.run, machine.highest.get(order.task, 0))
+        for key in [k for k in machine.running if k[0] == order.task]:
+            play.end(machine, key, "stopped")
+        return play.now
+
+    async def _poll(self, machine, acknowledged, deadline_s, wait_s):
+        play, life = self.play, machine.worker_id
+        if deadline_s is not None:
+            play.extend_lease(machine, deadline_s)
+        machine.ended = [e for e in machine.ended if e.number > acknowledged]
+        until = play.now + wait_s
+        while not machine.ended and until - play.now > STEP_S / 1000:
+            machine.ended_event.clear()
+            waiting = asyncio.ensure_future(machine.ended_event.wait())
+            await asyncio.wait({waiting}, timeout=until - play.now)
+            waiting.cancel()
+        if machine.worker_id != life or machine.down:
+            return NO_ANSWER
+        rows = tuple(
+            RunningTask(m.task, m.run, "", play.measure_percent(m))
+            for m in machine.running.values()
+        )
+        return WorkerReport(play.now, rows, tuple(machine.ended))
+
+
+class GangPlay:
+    """Plays jobs on machines under successive leaders, with faults."""
+
+    def __init__(
+        self,
+        machines: int,
+        *,
+        faults: Iterable[Fault] = (),
+        seed: int = 1,
+        accelerators: int = 8,
+        per_rack: int = 8,
+        takes_s: float = 5.0,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.faults = list(faults)
+        self.takes_s = takes_s
+        self.machines = [
+            Machine(n, accelerators=accelerators, per_rack=per_rack)
+            for n in range(machines)
+        ]
+        self.store = FaultyStore()
+        self.calls: dict[tuple[str, int], int] = {}
+        self.members: list[Member] = []
+        self.jobs: dict[str, AcceptedJob] = {}
+        self.done_at: dict[str, float] = {}
+        self.sent: list[tuple] = []
+        self.decisions: list[tuple] = []
+        self.terms: list[tuple[Term, asyncio.Task]] = []
+        self._clock = LoopClock()
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def spawn(self, work) -> asyncio.Task:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    # -- faults --------------------------------------------------------------------
+
+    def choose_fault(self, kind: str, machine: int) -> Fault:
+        count = self.calls[kind, machine] = self.calls.get((kind, machine), 0) + 1
+        for fault in self.faults:
+            if fault.kind not in (kind, "any") or fault.machine not in (None, machine):
+                continue
+            if fault.number is not None:
+                if fault.number == count:
+                    return fault
+            elif fault.since <= self.now < fault.until and (
+                fault.share >= 1 or self.rng.random() < fault.share
+            ):
+                return fault
+        return Fault(kind, machine, Fate.DELIVERED)
+
+    # -- workers -------------------------------------------------------------------
+
+    def find_machine(self, worker_id: str) -> Machine:
+        name = worker_id.partition(".")[0]
+        return next(m for m in self.machines if f"w{m.number}" == name)
+
+    def extend_lease(self, machine: Machine, deadline_s: float) -> None:
+        limit = min(deadline_s, self.now + MAX_LEASE_S)
+        machine.lease_until = max(machine.lease_until, limit)
+
+    def begin(self, machine: Machine, order) -> None:
+        step = self.jobs[order.task.job_id].workload.steps[order.task.step]
+        size = step.count if step.gang else 1
+        member = Member(order.task, order.run, size, self.now, self.takes_s, machine)
+        self.members.append(member)
+        machine.running[order.task, order.run] = member
+        present = [member] if size == 1 else self.list_present(member.gang)
+        if len(present) == size:
+            for other in present:
+                other.whole_at = self.now
+
+    def list_present(self, gang) -> list[Member]:
+        return [
+            m
+            for machine in self.machines
+            for m in machine.running.values()
+            if m.gang == gang
+        ]
+
+    def measure_percent(self, member: Member) -> float:
+        if member.whole_at is None:
+            return 0.0
+        return min(99.0, 100 * (self.now - member.whole_at) // member.takes_s)
+
+    def end(self, machine: Machine, key, how: str) -> None:
+        """End a run, and with it the other members of its gang."""
+        member = machine.running[key]
+        others = [] if member.size == 1 else self.list_present(member.gang)
+        self._record_end(member, how)
+        for other in others:
+            if other is not member:
+                self._record_end(other, "done" if how == "done" else "broken")
+
+    def _record_end(self, member: Member, how: str) -> None:
+        machine, key = member.machine, (member.task, member.run)
+        del machine.running[key]
+        member.ended_at, member.how = self.now, how
+        machine.highest[member.task] = max(
+            member.run, machine.highest.get(member.task, 0)
+        )
+        machine.ended.append(
+            EndedTask(next(machine.numbers), member.task, member.run, how, "")
+        )
+        machine.ended_event.set()
+        if how == "done":
+            self.done_at.setdefault(member.task.job_id, self.now)
+
+    async def _run_machines(self) -> None:
+        while True:
+            await asyncio.sleep(STEP_S)
+            for machine in self.machines:
+                for key, member in list(machine.running.items()):
+                    if key not in machine.running:
+                        continue
+                    waited_s = self.now - member.started_at
+                    whole_at = member.whole_at
+                    if self.now > machine.lease_until:
+                        self.end(machine, key, "lapsed")
+                    elif whole_at is None:
+                        if waited_s > GANG_START_TIMEOUT_S:
+                            self.end(machine, key, "alone")
+                    elif self.now - whole_at > member.takes_s:
+                        self.end(machine, key, "done")
+
+    async def _register_machines(self) -> None:
+        seen: dict[str, float] = {}
+        while True:
+            for machine in self.machines:
+                if not machine.down and machine.registered:
+                    self._write_entry(machine)
+                    seen[machine.worker_id] = self.now
+            for worker_id, at in list(seen.items()):
+                if self.now - at >= ENTRY_TTL_S:
+                    self.store.remove(WORKER_PREFIX + worker_id)
+                    del seen[worker_id]
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def _write_entry(self, machine: Machine) -> None:
+        entry = machine.entry
+        capacity = entry.capacity
+        value = {
+            "backend": entry.pool,
+            "address": entry.address,
+            "zone": entry.failure_domain,
+            "state": "ready",
+            "capacity": {
+                "cpu": capacity.cpu_milli,
+                "mem_mb": capacity.memory_mb,
+                "gpu": capacity.accelerators,
+            },
+            "labels": [*entry.labels, entry.rack],
+            "at": self.now,
+        }
+        self.store.put(WORKER_PREFIX + entry.worker_id, json.dumps(value).encode())
+
+    async def restart_machine(self, number: int, *, down_s: float) -> None:
+        """Crash a machine; it begins a new incarnation ``down_s`` later."""
+        machine = self.machines[number]
+        for key in list(machine.running):
+            self.end(machine, key, "lost")
+        machine.down = True
+        await asyncio.sleep(down_s)
+        machine.restart()
+
+    # -- jobs and leaders ----------------------------------------------------------
+
+    def submit(self, name: str, *, count=2, gang=True, need=8, priority=1) -> None:
+        step = make_step(count, need, gang=gang)
+        job = make_job(name, step, priority=priority, at=self.now)
+        self.jobs[name] = job
+        self.store.put(JOBS + name, encode_accepted(job))
+
+    def cancel(self, name: str) -> None:
+        self.store.put(CANCELS + name, b"")
+
+    def elect(self, *, answer_s: float = 0.01) -> Term:
+        """Begin a term under a new token."""
+        token = self.store.put(LEADER, b"")
+        client = StoreClient(self.store)
+        settings = NodeSettings(
+            "vm", "10.0.0.1", "d", "", "", "", 1, (), "", MAX_LEASE_S, 120.0, 2.7,
+            0.3, 2.0, 1000.0,
+        )  # fmt: skip
+        timeline = Timeline(process="p", clock=self._clock, logical=LogicalClock())
+        term = Term(
+            store=client,
+            calls=FaultyCalls(self, token, answer_s),
+            leadership=FakeLeadership(client, token),
+            settings=settings,
+            clock=self._clock,
+            rng=self.rng,
+            timeline=timeline,
+            on_order=lambda kind, waited_s, took_s: None,
+        )
+        term.client = client
+        term.timeline = timeline
+        term.core.configuration = QueueConfiguration(1, QUEUES)
+        self.terms.append((term, self.spawn(term.run())))
+        return term
+
+    async def kill_leader(self) -> None:
+        """End the leader's process; calls in flight still arrive."""
+        _, running = self.terms[-1]
+        running.cancel()
+        await asyncio.wait({running})
+
+    async def succeed(self, how: str, *, gap_s: float | None = None) -> Term:
+        """Replace the leader: ``killed``, ``handed over`` or ``cut off``."""
+        term, _ = self.terms[-1]
+        lapse_s = LEADER_LEASE_S + ELECTION_S
+        if how == "killed":
+            await self.kill_leader()
+        elif how == "handed over":
+            term.step_down("a VM with a larger link can lead")
+            lapse_s = ELECTION_S
+        else:
+            term.client.cut = True
+        await asyncio.sleep(lapse_s if gap_s is None else gap_s)
+        return self.elect()
+
+    def play(self, script, *, seconds: float) -> "GangPlay":
+        """Run ``script`` beside a first leader for ``seconds``."""
+
+        async def run():
+            self.spawn(self._register_machines())
+            self.spawn(self._run_machines())
+            await asyncio.sleep(0.01)
+            self.elect()
+            await asyncio.sleep(0.5)
+            scripted = self.spawn(script(self))
+            await asyncio.sleep(seconds)
+            if scripted.done():
+                scripted.result()
+            self.ended_at = self.now
+            for term, _ in self.terms:
+                self.decisions += [
+                    (e.details.get("what"), e.details)
+                    for e in term._timeline.list_events()
+                    if e.number == Event.CORE_DECIDED.number
+                ]
+            for task in tuple(self._tasks):
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+
+        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+            runner.run(run())
+        return self
+
+    # -- results -------------------------------------------------------------------
+
+    def list_alone(self) -> list[Member]:
+        """Return the members that ended because others did not start in time."""
+        return [m for m in self.members if m.how == "alone"]
+
+    def measure_longest_wait(self) -> float:
+        """Return the longest time, in seconds, that a member ran without the others."""
+        waits = [m.measure_wait(self.ended_at) for m in self.members if m.size > 1]
+        return round(max(waits, default=0.0), 2)
+
+    def find_overlaps(self) -> list[tuple[Member, Member]]:
+        """Return the pairs of runs of one task that ran at the same time."""
+        return [
+            (a, b)
+            for a, b in itertools.combinations(self.members, 2)
+            if a.task == b.task
+            and a.started_at < (b.ended_at or math.inf)
+            and b.started_at < (a.ended_at or math.inf)
+        ]
