--- a/features/node_gang_apart.feature
+++ b/features/node_gang_apart.feature
@@ -14,11 +14,12 @@
       | 0.3    | the starts of 12 tasks             |
       | 0.3    | the stops of 12 tasks              |
       | 0.01   | the starts of 4 tasks, which are lost |
+      | 0.2    | an urgent start each 0.2 s |
 
   Scenario: A successor does not leave a member waiting for a worker that is silent
     Guards against a gang that is only partly started when its leader changes.
     Given a leader of 2 workers, all of whose answers take 0.01 s
-    When the leader hands over while one start of a gang of 2 is lost, and the worker of that start is silent to the successor for 3 s
+    When the leader hands over while a start is lost, to a worker that is then silent for 3 s
     Then no member of the gang ends alone
 
   Scenario Outline: Work begins behind a slow link
@@ -32,3 +33,18 @@
       | 0.6    |
       | 0.9    |
       | 1.2    |
+
+  Scenario: A fault of any one call delays the others of a gang by little
+    Guards against a call whose loss, delay or repetition leaves a member waiting.
+    When each of the first 2 calls of each kind to each worker of a gang of 2 has a fault
+    Then in each play no member waits for longer than 1.2 s, and the gang is done
+
+  Scenario: A change of the leader at any time ends or completes a gang
+    Guards against a gang of which the successor does not learn that it is incomplete.
+    When the leader changes in each way at each of 6 times after a start with a fault
+    Then in each play no member waits for longer than 2.9 s, and the gang is done
+
+  Scenario: Gangs are completed through faults drawn at random
+    Guards against tasks that run twice or never again after some order of events.
+    When 30 plays of 6 jobs have faults, restarts, outages and changes of the leader
+    Then in each play no task runs twice at once, and each job is done
--- a/features/steps/node_gang_apart_steps.py
+++ b/features/steps/node_gang_apart_steps.py
@@ -1,13 +1,20 @@
 import asyncio
+import itertools
 
 from behave import given, then, when
 
-from features.support.gang_faults import Fate, Fault, GangPlay
+from features.support.gang_faults import (
+    Fate,
+    Fault,
+    GangPlay,
+    play_at_random,
+)
 
 ORDERS = {
     "the starts of 12 tasks": 12,
     "the stops of 12 tasks": 12,
     "the starts of 4 tasks, which are lost": 4,
+    "an urgent start each 0.2 s": 40,
 }
 START_ATTEMPTS = 3
 
@@ -32,24 +39,32 @@
     lost = START_ATTEMPTS * count if orders.endswith("lost") else 0
     faults = [Fault("start", 0, Fate.LOST, number=n + 1) for n in range(lost)]
 
+    async def submit_urgent(play):
+        for number in range(count):
+            play.submit(f"urgent-{number}", count=1, need=1, gang=False, priority=0)
+            await asyncio.sleep(0.2)
+
     async def script(play):
         await settle(play, answer_s)
         # The small tasks are packed on one worker, beside which the gang still fits.
-        play.submit("small", count=count, gang=False, need=1)
+        if orders.startswith("an urgent"):
+            play.spawn(submit_urgent(play))
+            await asyncio.sleep(0.8)
+        else:
+            play.submit("small", count=count, gang=False, need=1)
+            await asyncio.sleep(count * answer_s + 1.0 if stops else 0.005)
         if stops:
-            await asyncio.sleep(count * answer_s + 1.0)
             play.cancel("small")
-        else:
-            await asyncio.sleep(0.005)
         play.submit("gang", count=2, need=17)
 
-    context.play = GangPlay(2, faults=faults, accelerators=32, takes_s=12.0)
+    takes_s = 2.0 if orders.startswith("an urgent") else 12.0
+    context.play = GangPlay(2, faults=faults, accelerators=32, takes_s=takes_s)
     context.play.play(script, seconds=25.0)
 
 
 @when(
-    "the leader hands over while one start of a gang of 2 is lost, and the worker of"
-    " that start is silent to the successor for {silent:d} s"
+    "the leader hands over while a start is lost, to a worker that is then silent for"
+    " {silent:d} s"
 )
 def hand_over(context, silent):
     handover_s = 0.2
@@ -92,3 +107,70 @@
 def check_done(context):
     play = context.play
     assert "gang" in play.done_at, describe(play)
+
+
+FATES = [(Fate.NOT_SENT, 0.0), (Fate.LOST, 0.0), (Fate.UNANSWERED, 0.0)]
+FATES += [(Fate.LATE, late_s) for late_s in (0.6, 2.0, 6.0, 11.0)]
+FATES += [(Fate.DOUBLED, late_s) for late_s in (0.6, 2.0, 6.0, 11.0)]
+
+
+@when(
+    "each of the first {calls:d} calls of each kind to each worker of a gang of 2 has a"
+    " fault"
+)
+def play_single_faults(context, calls):
+    async def script(play):
+        play.submit("gang", count=2)
+
+    context.plays = {}
+    chosen = itertools.product(("start", "poll"), (0, 1), range(1, calls + 1), FATES)
+    for kind, machine, number, (fate, late_s) in chosen:
+        fault = Fault(kind, machine, fate, number=number, late_s=late_s)
+        context.plays[fault] = GangPlay(3, faults=[fault]).play(script, seconds=20.0)
+
+
+@when("the leader changes in each way at each of 6 times after a start with a fault")
+def play_changes(context):
+    ways = ("killed", "handed over", "cut off")
+    times_s = (0.005, 0.02, 0.2, 0.6, 1.13, 2.0)
+    fates = [(Fate.DELIVERED, 0.0), *FATES[1:5]]
+    context.plays = {}
+    for way, at_s, (fate, late_s) in itertools.product(ways, times_s, fates):
+
+        async def script(play, way=way, at_s=at_s):
+            play.submit("gang", count=2)
+            await asyncio.sleep(at_s)
+            await play.succeed(way)
+
+        faults = [
+            Fault("start", 1, fate, number=n + 1, late_s=late_s)
+            for n in range(START_ATTEMPTS)
+        ]
+        play = GangPlay(3, faults=faults).play(script, seconds=25.0)
+        context.plays[way, at_s, fate, late_s] = play
+
+
+@then(
+    "in each play no member waits for longer than {seconds:f} s, and the gang is done"
+)
+def check_waits(context, seconds):
+    waits = {what: p.measure_longest_wait() for what, p in context.plays.items()}
+    longest = max(waits, key=waits.get)
+    assert waits[longest] <= seconds, (longest, waits[longest])
+    for what, play in context.plays.items():
+        assert "gang" in play.done_at, (what, describe(play))
+        assert not play.find_overlaps(), (what, describe(play))
+
+
+@when(
+    "{plays:d} plays of 6 jobs have faults, restarts, outages and changes of the leader"
+)
+def play_random(context, plays):
+    context.plays = {seed: play_at_random(seed) for seed in range(plays)}
+
+
+@then("in each play no task runs twice at once, and each job is done")
+def check_random(context):
+    for seed, play in context.plays.items():
+        assert not play.find_overlaps(), (seed, play.find_overlaps()[:2])
+        assert set(play.done_at) == set(play.jobs), (seed, play.events, play.done_at)
--- a/features/support/gang_faults.py
+++ b/features/support/gang_faults.py
@@ -406,6 +406,7 @@
         self.decisions: list[tuple] = []
         self.terms: list[tuple[Term, asyncio.Task]] = []
         self._clock = LoopClock()
+        self._succeeding = False
         self._tasks: set[asyncio.Task] = set()
 
     @property
@@ -543,7 +544,9 @@
         """Crash a machine; it begins a new incarnation ``down_s`` later."""
         machine = self.machines[number]
         for key in list(machine.running):
-            self.end(machine, key, "lost")
+            # The end of one member ends the others of its gang.
+            if key in machine.running:
+                self.end(machine, key, "lost")
         machine.down = True
         await asyncio.sleep(down_s)
         machine.restart()
@@ -561,6 +564,7 @@
 
     def elect(self, *, answer_s: float = 0.01) -> Term:
         """Begin a term under a new token."""
+        self._succeeding = False
         token = self.store.put(LEADER, b"")
         client = StoreClient(self.store)
         settings = NodeSettings(
@@ -586,6 +590,7 @@
 
     async def kill_leader(self) -> None:
         """End the leader's process; calls in flight still arrive."""
+        self._succeeding = True
         _, running = self.terms[-1]
         running.cancel()
         await asyncio.wait({running})
@@ -593,6 +598,7 @@
     async def succeed(self, how: str, *, gap_s: float | None = None) -> Term:
         """Replace the leader: ``killed``, ``handed over`` or ``cut off``."""
         term, _ = self.terms[-1]
+        self._succeeding = True
         lapse_s = LEADER_LEASE_S + ELECTION_S
         if how == "killed":
             await self.kill_leader()
@@ -602,8 +608,18 @@
         else:
             term.client.cut = True
         await asyncio.sleep(lapse_s if gap_s is None else gap_s)
+        while self.store.is_down():
+            await asyncio.sleep(STEP_S)
         return self.elect()
 
+    async def _keep_a_leader(self) -> None:
+        """Elect another leader if one resigns, such as after a slow load."""
+        while True:
+            await asyncio.sleep(ELECTION_S)
+            resigned = self.terms[-1][1].done() and not self._succeeding
+            if resigned and not self.store.is_down():
+                self.elect()
+
     def play(self, script, *, seconds: float) -> "GangPlay":
         """Run ``script`` beside a first leader for ``seconds``."""
 
@@ -612,6 +628,7 @@
             self.spawn(self._run_machines())
             await asyncio.sleep(0.01)
             self.elect()
+            self.spawn(self._keep_a_leader())
             await asyncio.sleep(0.5)
             scripted = self.spawn(script(self))
             await asyncio.sleep(seconds)
@@ -652,3 +669,58 @@
             and a.started_at < (b.ended_at or math.inf)
             and b.started_at < (a.ended_at or math.inf)
         ]
+
+
+LATE_S = (0.5, 2.0, 6.0, 11.0)
+FAULTS = (Fate.LOST, Fate.UNANSWERED, Fate.LATE, Fate.DOUBLED, Fate.NOT_SENT)
+
+
+def play_at_random(seed: int) -> GangPlay:
+    """Play six jobs on five machines with faults in the first 18 s.
+
+    ``events`` of the returned play lists the changes and when they began.
+    """
+    rng = random.Random(seed)
+    share = rng.choice((0.0, 0.05, 0.1, 0.2))
+    faults = [
+        Fault(
+            rng.choice(("start", "stop", "poll", "any")),
+            rng.choice((None, None, 0, 1)),
+            fate,
+            share=share,
+            since=0.5,
+            until=18.0,
+            late_s=rng.choice(LATE_S),
+        )
+        for fate in rng.sample(FAULTS, 2)
+    ]
+    play = GangPlay(5, faults=faults, seed=seed, per_rack=3, takes_s=4.0)
+    play.events = []
+
+    async def submit():
+        for number in range(6):
+            play.submit(
+                f"job-{number}",
+                count=rng.randint(2, 4),
+                need=rng.choice((4, 8)),
+                gang=rng.random() < 0.8,
+                priority=rng.randint(0, 2),
+            )
+            await asyncio.sleep(rng.uniform(0.0, 3.0))
+
+    async def script(play):
+        play.spawn(submit())
+        for _ in range(rng.randint(0, 3)):
+            await asyncio.sleep(rng.uniform(0.05, 5.0))
+            event = rng.choice(("killed", "handed over", "cut off", "restart", "store"))
+            play.events.append((event, round(play.now, 2)))
+            if event == "restart":
+                down_s = rng.choice((0.1, 1.0, 4.0, 8.0))
+                play.spawn(play.restart_machine(rng.randrange(5), down_s=down_s))
+            elif event == "store":
+                until = play.now + rng.uniform(0.5, 7.0)
+                play.store.outages.append((play.now, until))
+            else:
+                await play.succeed(event)
+
+    return play.play(script, seconds=75.0)
