--- a/features/protocol_model.feature
+++ b/features/protocol_model.feature
@@ -42,6 +42,12 @@
       | leader_compared             | 9     |
       | cancel_read_first           | 5     |
 
+    Examples: Gangs on the platform
+      | guard            | steps |
+      | members_stopped  | 8     |
+      | absent_ends_run  | 5     |
+      | incomplete_ended | 6     |
+
     Examples: Requests and configuration
       | guard              | steps |
       | create_claim       | 6     |
--- a/features/steps/protocol_model_steps.py
+++ b/features/steps/protocol_model_steps.py
@@ -17,6 +17,7 @@
 from firladder._internal.etcd.inventory import Inventory
 from firladder._internal.exceptions import (
     NotLeader,
+    OrderRejected,
     RevisionConflict,
     SentUnanswered,
     StoreConflict,
@@ -41,6 +42,7 @@
     Configuration,
 )
 from firladder._internal.models.message import Identity
+from firladder._internal.models.order import RunningTask
 from firladder._internal.models.task import TaskStatus
 from firladder._internal.node.keys import LEADER
 from firladder._internal.node.progress_writer import ProgressWriter
@@ -362,6 +364,49 @@
         assert world.plan() == 0
 
 
+class GangRunReplays:
+    """The steps of a gang on the platform on the real scheduling core."""
+
+    def start(self):
+        """Return an engine, and two members of a gang, the first of which started."""
+        world = EngineWorld(2)
+        world.submit(make_job("g", make_step(2, gang=True)))
+        first, second = world.start_all()
+        world.accept((first,))
+        return world, first, second
+
+    @replay("members_stopped")
+    async def reject_member(self):
+        world, first, second = self.start()
+        rejected = OrderRejected(reason="409 room", rejection="no_room")
+        world.core.handle_start_answer(second, rejected, world.now)
+        world.make_durable()
+        assert world.plan() == 0, "planned again before the other member was stopped"
+        assert world.core.take_stops(world.now) == [first]
+
+    @replay("absent_ends_run")
+    async def miss_member(self):
+        world, first, second = self.start()
+        world.succeed()
+        world.report(
+            world.core.workers[first.worker_id],
+            [RunningTask(first.task, first.run, "", 0)],
+        )
+        world.report(world.core.workers[second.worker_id])
+        (stop,) = world.core.take_stops(world.now)
+        assert stop.key == first.key
+
+    @replay("incomplete_ended")
+    async def succeed_incomplete(self):
+        world, first, second = self.start()
+        rejected = OrderRejected(reason="409 room", rejection="no_room")
+        world.core.handle_start_answer(second, rejected, world.now)
+        world.make_durable()
+        world.succeed()
+        (stop,) = world.core.take_stops(world.now)
+        assert stop.key == first.key
+
+
 class FakePlatformStore:
     """A store in which another node leads."""
 
@@ -379,6 +424,7 @@
     ClaimReplays,
     ConfigurationReplays,
     RunReplays,
+    GangRunReplays,
 )
 
 
