--- a/features/support/gang_faults.py
+++ b/features/support/gang_faults.py
@@ -569,7 +569,7 @@
         client = StoreClient(self.store)
         settings = NodeSettings(
             "vm", "10.0.0.1", "d", "", "", "", 1, (), "", MAX_LEASE_S, 120.0, 2.7,
-            0.3, 2.0, 1000.0,
+            0.3, GANG_START_TIMEOUT_S, 2.0, 1000.0,
         )  # fmt: skip
         timeline = Timeline(process="p", clock=self._clock, logical=LogicalClock())
         term = Term(
