--- a/features/node_orders.feature
+++ b/features/node_orders.feature
@@ -71,10 +71,28 @@
     Guards against ever more orders in flight to a worker that does not answer.
     Given a leader whose worker has one active task
     When a job of 7 tasks is submitted, and the next 99 starts are lost
-    Then 5 of its starts were sent within 0.9 s
+    Then 4 of its starts were sent within 0.9 s
 
   Scenario: An order is overdue soon where answers are fast, and later where they are slow
     Guards against many orders in flight over a full link.
     Given a leader of one worker, all of whose answers take 0.3 s
     When a job of 6 tasks is submitted
     Then an order is overdue after 0.3 s or more
+
+  Scenario: Only as many orders are in flight as a slow leader can handle
+    Guards against a leader none of whose orders is answered in time.
+    Given a leader of 120 workers, all of whose answers take 0.3 s
+    When 12 gangs of 10 are submitted, one task for each worker
+    Then at most 48 orders were in flight, and all gangs are active in run 1
+
+  Scenario: Urgent starts and stops go before other starts to all workers
+    Guards against urgent work that waits behind the starts to other workers.
+    Given an order window that is full
+    When a start, a stop and an urgent start wait, each for a worker of its own
+    Then they get their turns in the order urgent start, stop, start
+
+  Scenario: An order that waits is overtaken by an urgent one to its worker
+    Guards against urgent work that waits behind a start to its own worker.
+    Given an order window that is full
+    When two starts wait, and an urgent start joins the second
+    Then the second gets its turn first, and only one turn is granted for each release
--- a/features/steps/node_order_steps.py
+++ b/features/steps/node_order_steps.py
@@ -5,6 +5,8 @@
 from features.support.engine_world import make_job, make_step
 from features.support.fake_workers import SimulatedLeader
 from features.support.virtual_time import run_in_virtual_time
+from firladder._internal.node.order_window import OrderWindow
+from firladder._internal.node.orders import Order, Rank
 
 
 @given("a leader whose worker runs 8 tasks and then stops answering")
@@ -268,3 +270,79 @@
 @then("an order is overdue after {seconds:f} s or more")
 def check_overdue(context, seconds):
     assert context.leader.timeout_estimator.overdue_s >= seconds
+
+
+@given("a leader of {workers:d} workers, all of whose answers take {seconds:f} s")
+def delay_answers_of_many(context, workers, seconds):
+    delay_answers(context, seconds, workers=workers)
+
+
+@when("{count:d} gangs of {size:d} are submitted, one task for each worker")
+def submit_gangs(context, count, size):
+    for number in range(count):
+        step = make_step(size, gang=True)
+        context.leader.engine.submit(make_job(f"gang{number}", step))
+    run_in_virtual_time(context.leader.lead(4.0))
+
+
+@then(
+    "at most {limit:d} orders were in flight, and all gangs are active in run 1"
+)
+def check_in_flight(context, limit):
+    assert context.leader.calls.most_in_flight <= limit
+    units = [job.units[0] for job in context.leader.core.jobs.values()]
+    assert all(u.all_active and u.run == 1 for u in units), units
+
+
+@given("an order window that is full")
+def fill_window(context):
+    context.window = OrderWindow(1)
+    context.granted = []
+
+
+def make_order(window, rank, placement=None):
+    return Order(rank, next(window.numbers), placement, rank is not Rank.STOP, 0.0)
+
+
+async def grant_turns(context, turns):
+    """Release one turn at a time; record which of ``turns`` are done after each."""
+    for _ in turns:
+        context.window.release()
+        await asyncio.sleep(0)
+        done = {name for name, turn in turns.items() if turn.done()}
+        context.granted.append(done - set().union(*context.granted))
+
+
+@when("a start, a stop and an urgent start wait, each for a worker of its own")
+def wait_for_turns(context):
+    async def wait():
+        window = context.window
+        await window.request(make_order(window, Rank.START))
+        ranks = (Rank.START, Rank.STOP, Rank.URGENT_START)
+        turns = {rank: window.request(make_order(window, rank)) for rank in ranks}
+        await grant_turns(context, turns)
+
+    run_in_virtual_time(wait())
+
+
+@then("they get their turns in the order urgent start, stop, start")
+def check_turns(context):
+    expected = [{Rank.URGENT_START}, {Rank.STOP}, {Rank.START}]
+    assert context.granted == expected, context.granted
+
+
+@when("two starts wait, and an urgent start joins the second")
+def promote_second(context):
+    async def wait():
+        window = context.window
+        await window.request(make_order(window, Rank.START))
+        turns = {n: window.request(make_order(window, Rank.START)) for n in (1, 2)}
+        window.promote(turns[2], make_order(window, Rank.URGENT_START))
+        await grant_turns(context, turns)
+
+    run_in_virtual_time(wait())
+
+
+@then("the second gets its turn first, and only one turn is granted for each release")
+def check_promoted(context):
+    assert context.granted == [{2}, {1}], context.granted
--- a/features/support/fake_workers.py
+++ b/features/support/fake_workers.py
@@ -12,6 +12,7 @@
     RunningTask,
     WorkerReport,
 )
+from firladder._internal.node.order_window import OrderWindow
 from firladder._internal.node.timeout_estimator import TimeoutEstimator
 from firladder._internal.node.worker_session import WorkerSession
 
@@ -46,6 +47,8 @@
         self._end_available = asyncio.Event()
         self.last_stopped_runs: dict = {}
         self.sent: list[SentCall] = []
+        self.most_in_flight = 0
+        self._in_flight = 0
 
     async def start(self, order, *, deadline_s, send_within_s, timeout_s):
         self._record_sent("start", order)
@@ -101,6 +104,14 @@
         self._end_available.set()
 
     async def _execute(self, kind, order, timeout_s):
+        self._in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self._in_flight)
+        try:
+            return await self._answer(kind, order, timeout_s)
+        finally:
+            self._in_flight -= 1
+
+    async def _answer(self, kind, order, timeout_s):
         if await self._lose(kind, timeout_s):
             return NO_ANSWER
         await asyncio.sleep(self.answer_s / 2)
@@ -147,6 +158,7 @@
         self.core = self.engine.core
         self.calls = FakeWorkerCalls()
         self.timeout_estimator = TimeoutEstimator()
+        self.order_window = OrderWindow()
         self.may_renew = True
         self.sessions: dict[str, WorkerSession] = {}
         self.order_waits_s: list[float] = []
--- a/src/firladder/_internal/node/orders.py
+++ b/src/firladder/_internal/node/orders.py
@@ -3,7 +3,8 @@
 import asyncio
 import dataclasses
 import enum
-import itertools
+import heapq
+from collections.abc import Iterator
 
 from ..engine.state import Placement
 
@@ -20,8 +21,8 @@
 class Order:
     """A queued start or stop.
 
-    Orders of one rank are sent in the order of ``number``. ``queued_at`` is the
-    leader's monotonic time, in seconds.
+    Orders of one rank are sent in the order of ``number``, which counts the orders of
+    the leader. ``queued_at`` is the leader's monotonic time, in seconds.
     """
 
     rank: Rank
@@ -52,16 +53,17 @@
     starts would wait behind all the copies.
     """
 
-    def __init__(self) -> None:
-        """Start empty."""
-        self._orders: asyncio.PriorityQueue[Order] = asyncio.PriorityQueue()
-        self._numbers = itertools.count()
+    def __init__(self, numbers: Iterator[int]) -> None:
+        """Start empty; take the numbers of orders from ``numbers``."""
+        self._orders: list[Order] = []
+        self._added = asyncio.Event()
+        self._numbers = numbers
         self._unsent: set[Placement] = set()
         self._stopping: set[Placement] = set()
 
     def __len__(self) -> int:
         """Return the number of queued orders."""
-        return self._orders.qsize()
+        return len(self._orders)
 
     def has_unsent_start(self, placement: Placement) -> bool:
         """Return whether the start of a placement is queued but not sent yet."""
@@ -80,11 +82,22 @@
 
     def _put(self, placement: Placement, now: float, *, start: bool) -> None:
         rank, number = choose_rank(placement, start=start), next(self._numbers)
-        self._orders.put_nowait(Order(rank, number, placement, start, now))
-
-    async def take(self) -> Order:
-        """Remove and return the next order; wait for one if there is none."""
-        return await self._orders.get()
+        heapq.heappush(self._orders, Order(rank, number, placement, start, now))
+        self._added.set()
+
+    async def wait(self) -> None:
+        """Wait until there is an order."""
+        while not self._orders:
+            self._added.clear()
+            await self._added.wait()
+
+    def find_next(self) -> Order:
+        """Return the next order, which stays queued."""
+        return self._orders[0]
+
+    def take(self) -> Order:
+        """Remove and return the next order."""
+        return heapq.heappop(self._orders)
 
     def mark_start_sent(self, order: Order) -> None:
         """Record that a start is being sent or dropped."""
--- a/src/firladder/_internal/node/session_context.py
+++ b/src/firladder/_internal/node/session_context.py
@@ -7,6 +7,7 @@
 from ..engine.core import Core
 from ..platform.workers import WorkerCalls
 from ..utils.clocks import Clock
+from .order_window import OrderWindow
 from .timeout_estimator import TimeoutEstimator
 
 T = TypeVar("T")
@@ -19,6 +20,7 @@
     calls: WorkerCalls
     clock: Clock
     timeout_estimator: TimeoutEstimator
+    order_window: OrderWindow
 
     @property
     def may_renew(self) -> bool:
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -29,6 +29,7 @@
 from .evacuations import Evacuations
 from .keys import CANCELS, JOBS, PROGRESS, SUBMISSIONS
 from .leader_load import LeaderLoad
+from .order_window import OrderWindow
 from .pass_loop import PassLoop
 from .prefix_watch import PrefixWatch
 from .progress_writer import ProgressWriter
@@ -87,6 +88,7 @@
         )
         self.calls = calls
         self.timeout_estimator = TimeoutEstimator()
+        self.order_window = OrderWindow()
         self._leader_load = LeaderLoad()
         self.clock = clock
         self.leadership = leadership
--- a/src/firladder/_internal/node/timeout_estimator.py
+++ b/src/firladder/_internal/node/timeout_estimator.py
@@ -12,6 +12,10 @@
 MIN_OVERDUE_S = 0.1
 """Minimum seconds after which an answer counts as overdue."""
 
+OVERDUE_RATIO = 1.5
+"""Minimum ratio of an overdue answer's time to the mean: the deviation is close to 0
+where all answers take the same time."""
+
 MEAN_WEIGHT = 1 / 8
 """Weight of a new sample in the mean, as in RFC 6298."""
 
@@ -48,7 +52,8 @@
         """
         if self._mean_s is None:
             return self.timeout_s
-        return min(self.timeout_s, max(MIN_OVERDUE_S, self._longest_usual_s))
+        late_s = max(OVERDUE_RATIO * self._mean_s, self._longest_usual_s)
+        return min(self.timeout_s, max(MIN_OVERDUE_S, late_s))
 
     @property
     def _longest_usual_s(self) -> float:
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -18,6 +18,7 @@
 )
 from ..models.order import WorkerReport
 from ..utils.logs import PRIORITY_ATTRIBUTE
+from .order_window import Turn
 from .orders import Order, OrderQueue
 from .session_context import SessionContext
 from .timeout_estimator import MAX_TIMEOUT_S
@@ -83,7 +84,8 @@
         self._core = context.core
         self._worker = worker
         self._wake = asyncio.Event()
-        self._orders = OrderQueue()
+        self._orders = OrderQueue(context.order_window.numbers)
+        self._turn: Turn | None = None
         self._waiting_poll_open = False
         self._may_send_lease = asyncio.Event()
 
@@ -105,6 +107,9 @@
             self._context.request_pass()
         else:
             self._orders.add_stop(placement, now)
+        if self._turn is not None and self._orders:
+            # The new order may be of a higher rank than the one that waits.
+            self._context.order_window.promote(self._turn, self._orders.find_next())
 
     @property
     def queued_orders(self) -> int:
@@ -276,8 +281,13 @@
         for each other.
         """
         in_flight: set[asyncio.Task[None]] = set()
+        window = self._context.order_window
         while not self._removed:
-            order = await self._orders.take()
+            await self._orders.wait()
+            self._turn = window.request(self._orders.find_next())
+            await self._turn
+            self._turn = None
+            order = self._orders.take()
             task = self._context.spawn(
                 self._execute(order), name=f"order-{self._worker.worker_id}"
             )
@@ -285,6 +295,7 @@
             task.add_done_callback(in_flight.discard)
             overdue_s = self._context.timeout_estimator.overdue_s
             await asyncio.wait((task,), timeout=overdue_s)
+            window.release()
             while len(in_flight) > MAX_OVERDUE_ORDERS:
                 await asyncio.wait(in_flight, return_when=asyncio.FIRST_COMPLETED)
 
