--- a/src/firladder/_internal/node/orders.py
+++ b/src/firladder/_internal/node/orders.py
@@ -91,6 +91,11 @@
             self._added.clear()
             await self._added.wait()
 
+    @property
+    def next_is_stop(self) -> bool:
+        """Return whether there is a next order, and it is a stop."""
+        return bool(self._orders) and not self._orders[0].start
+
     def find_next(self) -> Order:
         """Return the next order, which stays queued."""
         return self._orders[0]
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -57,8 +57,8 @@
 number. With a single attempt, a gang of a dozen seldom starts while one order in five
 is lost."""
 
-MAX_OVERDUE_ORDERS = 4
-"""Maximum orders of one worker in flight whose answers are overdue."""
+MAX_ORDERS_IN_FLIGHT = 4
+"""Maximum orders of one worker whose answers are awaited: stops, and overdue starts."""
 
 LATE_ORDER_WAIT_S = 1.0
 """Seconds in the queue from which an order is logged, whatever its answer."""
@@ -275,30 +275,40 @@
     async def send_orders(self) -> None:
         """Send the queued orders until the worker is removed.
 
-        One order is in flight at a time, which limits the load of a slow link or
+        One start is in flight at a time, which limits the load of a slow link or
         processor. An overdue one no longer holds up the others: while orders are lost,
         starts and stops would wait in the queue for longer than a gang's members wait
-        for each other.
+        for each other. Stops do not wait for each other, as urgent work waits for them.
         """
         in_flight: set[asyncio.Task[None]] = set()
-        window = self._context.order_window
         while not self._removed:
             await self._orders.wait()
-            self._turn = window.request(self._orders.find_next())
-            await self._turn
-            self._turn = None
+            await self._await_turn()
             order = self._orders.take()
-            task = self._context.spawn(
-                self._execute(order), name=f"order-{self._worker.worker_id}"
-            )
+            task = self._spawn(self._execute(order))
             in_flight.add(task)
             task.add_done_callback(in_flight.discard)
-            overdue_s = self._context.timeout_estimator.overdue_s
-            await asyncio.wait((task,), timeout=overdue_s)
-            window.release()
-            while len(in_flight) > MAX_OVERDUE_ORDERS:
+            settled = self._spawn(self._end_turn(task))
+            if order.start or not self._orders.next_is_stop:
+                await asyncio.wait((settled,))
+            while len(in_flight) >= MAX_ORDERS_IN_FLIGHT:
                 await asyncio.wait(in_flight, return_when=asyncio.FIRST_COMPLETED)
 
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        return self._context.spawn(work, name=f"order-{self._worker.worker_id}")
+
+    async def _await_turn(self) -> None:
+        """Wait until the next order may be sent; it may be another one by then."""
+        self._turn = self._context.order_window.request(self._orders.find_next())
+        await self._turn
+        self._turn = None
+
+    async def _end_turn(self, task: asyncio.Task[None]) -> None:
+        """End the turn of an order that was answered or is overdue."""
+        overdue_s = self._context.timeout_estimator.overdue_s
+        await asyncio.wait((task,), timeout=overdue_s)
+        self._context.order_window.release()
+
     async def _execute(self, order: Order) -> None:
         if order.start:
             await self._start(order)
