--- a/features/node_orders.feature
+++ b/features/node_orders.feature
@@ -96,3 +96,10 @@
     Given an order window that is full
     When two starts wait, and an urgent start joins the second
     Then the second gets its turn first, and only one turn is granted for each release
+
+  Scenario: A worker full of small tasks is cleared in few round trips
+    Guards against urgent work whose room comes one answer after another.
+    Given a leader whose worker runs 8 tasks, and whose answers take 0.1 s
+    When all of them are stopped
+    Then the last stop is sent within 0.25 s of the first
+    And at most 4 stops await their answer at a time
--- a/features/support/gang_faults.py
+++ b/features/support/gang_faults.py
@@ -287,7 +287,7 @@
         )
 
     async def poll(
-        self, worker_id, address, *, acknowledged, deadline_s, wait_s, timeout_s
+        self, worker_id, address, *, acknowledged, deadline_s, wait_s, timeout_s, **_
     ):
         return await self._call(
             "poll",
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Coroutine
-from typing import Any
+from typing import Any, TypeVar
 
 from ..engine import leases
 from ..engine.state import Phase, Placement, Worker
@@ -25,6 +25,8 @@
 
 logger = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
 POLL_WAIT_S = 2.0
 """Seconds that a poll waits for a run to end. Each poll is billed, and the platform
 allows no longer wait."""
@@ -183,14 +185,18 @@
         wait_s = self._choose_wait() if may_wait and deadline_s is None else 0.0
         if wait_s:
             self._waiting_poll_open = True
-        answer = await context.calls.poll(
+        timeout_s = self._choose_poll_timeout(wait_s)
+        call = context.calls.poll(
             worker.worker_id,
             worker.entry.address,
             acknowledged=acknowledged,
             deadline_s=deadline_s,
             wait_s=wait_s,
-            timeout_s=self._choose_poll_timeout(wait_s),
+            send_within_s=timeout_s,
+            timeout_s=timeout_s if wait_s else MAX_TIMEOUT_S,
         )
+        # How long a waiting poll takes says nothing of the link.
+        answer = await (call if wait_s else self._await_answer(call, timeout_s))
         now = context.clock.read_monotonic()
         if wait_s:
             self._waiting_poll_open = False
@@ -226,12 +232,12 @@
         )
 
     async def _await_answer(
-        self, call: Coroutine[Any, Any, float | OrderFailure], timeout_s: float
-    ) -> float | OrderFailure:
-        """Return the answer to an order, or ``SentUnanswered`` after the timeout.
+        self, call: Coroutine[Any, Any, T | OrderFailure], timeout_s: float
+    ) -> T | OrderFailure:
+        """Return the answer to a call, or ``SentUnanswered`` after the timeout.
 
         The call itself continues, so that a late answer still adapts the timeout of
-        the next orders.
+        the next ones: a leader behind a slow link could otherwise claim no worker.
         """
         context = self._context
         sent_at = context.clock.read_monotonic()
@@ -242,12 +248,10 @@
             return task.result()
         return SentUnanswered(reason="timed out before the answer")
 
-    def _time_answer(
-        self, task: "asyncio.Task[float | OrderFailure]", sent_at: float
-    ) -> None:
+    def _time_answer(self, task: "asyncio.Task[Any]", sent_at: float) -> None:
         if task.cancelled() or task.exception() is not None:
             return
-        if isinstance(task.result(), float | OrderRejected):
+        if isinstance(task.result(), float | WorkerReport | OrderRejected):
             took_s = self._context.clock.read_monotonic() - sent_at
             self._context.timeout_estimator.record_answer(took_s)
 
--- a/src/firladder/_internal/platform/workers.py
+++ b/src/firladder/_internal/platform/workers.py
@@ -119,6 +119,7 @@
         acknowledged: int,
         deadline_s: float | None,
         wait_s: float,
+        send_within_s: float,
         timeout_s: float,
     ) -> WorkerReport | OrderFailure:
         """Return all active and ended runs, waiting up to ``wait_s`` for an end.
@@ -131,7 +132,14 @@
             body["deadline_ms"] = int(deadline_s * 1000)
         if wait_s:
             body["wait_ms"] = int(min(wait_s, MAX_WAIT_S) * 1000)
-        response = await self._call(worker_id, address, "/-/hold", body, timeout_s)
+        response = await self._call(
+            worker_id,
+            address,
+            "/-/hold",
+            body,
+            timeout_s,
+            send_within_s=send_within_s,
+        )
         if not isinstance(response, HttpResponse):
             return response
         try:
