--- a/features/node_logs.feature
+++ b/features/node_logs.feature
@@ -29,3 +29,23 @@
     Given a leader's load
     When it records a pass of 0.2 s, a delay of 0.4 s, and an unanswered order for 1 s
     Then its next report has these figures, and the one after it has none of them
+
+  Scenario: The bytes of each kind of call are counted at both ends
+    Guards against a full link of which the log does not say what fills it.
+    Given a client and a server that count their traffic
+    When the client sends 3000 bytes to the server as "run-start", and 10 as "hold"
+    Then the client has sent at least 3000 bytes in 1 call as "run-start"
+    And it has received what the server has sent, and begins again at 0
+
+  Scenario: A call without an answer is counted as such
+    Guards against retries that look like work in the counts of a full link.
+    Given a client and a server that count their traffic
+    When the client sends 3000 bytes as "run-start", and no answer comes in 0.2 s
+    Then the client has counted 1 unanswered call of at least 0.2 s as "run-start"
+
+  Scenario: The wait of urgent work until its last task is active is logged
+    Guards against guaranteed work that begins late without a trace in the log.
+    Given an engine with 2 workers of 8 accelerators
+    And an urgent gang of 2 that is planned
+    When its members are active 0.4 s and 0.9 s later
+    Then one decision "urgent work began" names its wait of 0.9 s
--- a/features/steps/node_log_steps.py
+++ b/features/steps/node_log_steps.py
@@ -3,9 +3,19 @@
 
 from behave import given, then, when
 
-from features.support.engine_world import EngineWorld
+from features.steps.network_answers_steps import play
+from features.support.engine_world import EngineWorld, make_job, make_step
+from firladder._internal.exceptions import SentUnanswered
+from firladder._internal.network.http_client import HttpClient, HttpResponse
+from firladder._internal.network.http_server import (
+    HttpServer,
+    RouteTable,
+    reply_json,
+)
+from firladder._internal.network.traffic import TrafficMeter
 from firladder._internal.node.leader_load import LeaderLoad
 from firladder._internal.utils.streams import BoundedStream
+from standins.site import reserve_port_block
 
 
 @given("a log that may write 600 lines at once")
@@ -130,3 +140,102 @@
     assert report["processor_s"] == 0.5, report
     later = context.load.take_report(12.0, queued=())
     assert not any(v for k, v in later.items() if k != "span_s"), later
+
+
+COUNTED = RouteTable()
+
+
+@COUNTED.route("POST", "/answer")
+async def answer_counted(app, call):
+    return reply_json({"bytes": len(call.body)})
+
+
+@COUNTED.route("POST", "/hold")
+async def hold_counted(app, call):
+    await call.disconnected.wait()
+    return reply_json({})
+
+
+@given("a client and a server that count their traffic")
+def start_counted(context):
+    context.sent, context.served = TrafficMeter(), TrafficMeter()
+    context.client = HttpClient(traffic=context.sent)
+    lock, ports = reserve_port_block()
+    context.add_cleanup(lock.close)
+    context.address = f"127.0.0.1:{next(ports)}"
+
+    async def start():
+        server = HttpServer(None, COUNTED, traffic=context.served, kind="clients")
+        server.listen(context.address)
+        return server
+
+    server = play(context, start())
+    context.add_cleanup(lambda: play(context, server.close()))
+
+
+def send_counted(context, size, kind, *, path="/answer", timeout_s=2.0):
+    url = f"http://{context.address}{path}"
+    call = context.client.call(
+        "POST", url, body=b"x" * size, timeout_s=timeout_s, kind=kind
+    )
+    return play(context, call)
+
+
+@when('the client sends 3000 bytes to the server as "run-start", and 10 as "hold"')
+def send_both(context):
+    for size, kind in ((3000, "run-start"), (10, "hold")):
+        assert isinstance(send_counted(context, size, kind), HttpResponse)
+
+
+@then('the client has sent at least 3000 bytes in 1 call as "run-start"')
+def check_sent(context):
+    context.report = context.sent.take_report()
+    usage = context.report["run-start"]
+    assert usage["calls"] == 1, context.report
+    assert 3000 <= usage["sent_bytes"] <= 3400, context.report
+    assert 10 <= context.report["hold"]["sent_bytes"] <= 410, context.report
+
+
+@then("it has received what the server has sent, and begins again at 0")
+def check_received(context):
+    served = context.served.take_report()["clients"]
+    received = sum(u["received_bytes"] for u in context.report.values())
+    # The HTTP library adds the header lines "Date" and "Server" after the server has
+    # counted, and removes "Content-Length" before the client counts.
+    assert abs(served["sent_bytes"] - received) <= 100, (served, received)
+    assert served["received_bytes"] >= 3010, served
+    assert context.sent.take_report() == {}
+
+
+@when('the client sends 3000 bytes as "run-start", and no answer comes in 0.2 s')
+def send_unanswered(context):
+    found = send_counted(context, 3000, "run-start", path="/hold", timeout_s=0.2)
+    assert isinstance(found, SentUnanswered), found
+
+
+@then('the client has counted 1 unanswered call of at least 0.2 s as "run-start"')
+def check_unanswered(context):
+    usage = context.sent.take_report()["run-start"]
+    assert (usage["calls"], usage["unanswered"]) == (1, 1), usage
+    assert usage["longest_answer_s"] >= 0.2, usage
+
+
+@given("an urgent gang of 2 that is planned")
+def plan_urgent(context):
+    context.engine.submit(make_job("urgent", make_step(2, gang=True), priority=0))
+    context.members = context.engine.start_all()
+    record_decisions(context)
+
+
+@when("its members are active {first:f} s and {second:f} s later")
+def activate_members(context, first, second):
+    began = context.engine.now
+    for member, later in zip(context.members, (first, second), strict=True):
+        context.engine.now = began + later
+        context.engine.accept([member])
+
+
+@then('one decision "urgent work began" names its wait of {seconds:f} s')
+def check_began(context, seconds):
+    inputs = find_decision(context, "urgent work began")
+    assert (inputs["job"], inputs["waited_s"]) == ("urgent", seconds), inputs
--- a/features/support/fake_workers.py
+++ b/features/support/fake_workers.py
@@ -162,7 +162,13 @@
         raise AssertionError(reason)
 
     def record_order(
-        self, kind: str, waited_s: float, took_s: float, *, answered: bool
+        self,
+        kind: str,
+        waited_s: float,
+        took_s: float,
+        *,
+        answered: bool,
+        urgent_start: bool,
     ) -> None:
         self.order_waits_s.append(waited_s)
 
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -248,6 +248,14 @@
             unit.job.state = JobState.RUNNING
         if unit is not None and placement.ran_from_start:
             self._note_spread(unit, placement)
+        if unit is not None and unit.job.accepted.priority == 0 and unit.all_active:
+            self.note(
+                "urgent work began",
+                job=unit.job.accepted.job_id,
+                step=unit.step_index,
+                run=unit.run,
+                waited_s=round(now - unit.ready_at, 3),
+            )
 
     def _note_spread(self, unit: Unit, last: Placement) -> None:
         """Log a gang whose members started far apart: the first ones waited."""
--- a/src/firladder/_internal/network/fabric.py
+++ b/src/firladder/_internal/network/fabric.py
@@ -21,6 +21,7 @@
 from ..utils.clocks import LogicalClock
 from ..utils.tasks import TaskSet
 from .authentication import FleetAuthenticator
+from .traffic import TrafficMeter
 
 logger = logging.getLogger(__name__)
 
@@ -91,7 +92,13 @@
     """Send requests to other processes and answer theirs."""
 
     def __init__(
-        self, *, address: str, sender: str, logical: LogicalClock, secret: str = ""
+        self,
+        *,
+        address: str,
+        sender: str,
+        logical: LogicalClock,
+        secret: str = "",
+        traffic: TrafficMeter | None = None,
     ) -> None:
         """Prepare to listen on ``address`` (``host:port``).
 
@@ -104,6 +111,7 @@
         self._address = address
         self._sender = sender
         self._logical = logical
+        self._traffic = traffic or TrafficMeter()
         self._handlers: dict[type[Body], MessageHandler] = {}
         self._links: dict[str, _Link] = {}
         self._pending: dict[str, asyncio.Future[AnyBody]] = {}
@@ -147,14 +155,21 @@
         correlation = f"{next(self._counter):x}"
         future: asyncio.Future[AnyBody] = asyncio.get_running_loop().create_future()
         self._pending[correlation] = future
+        began_at = time.monotonic()
+        answered = False
         try:
             if not self._enqueue(address, correlation, body):
                 return PeerUnreachable(reason=f"{address}: too many messages queued")
-            return await asyncio.wait_for(future, timeout_s)
+            reply = await asyncio.wait_for(future, timeout_s)
+            answered = True
+            return reply
         except TimeoutError:
             return PeerUnreachable(reason=f"{address}: no reply in {timeout_s} s")
         finally:
             self._pending.pop(correlation, None)
+            self._traffic.record_answer(
+                type(body).__name__, time.monotonic() - began_at, answered=answered
+            )
 
     def _enqueue(self, address: str, correlation: str, body: AnyBody) -> bool:
         link = self._links.get(address)
@@ -183,7 +198,9 @@
             correlation=correlation,
             body=body,
         )
-        return _encoder.encode(envelope)
+        data = _encoder.encode(envelope)
+        self._traffic.record_sent(type(body).__name__, len(data))
+        return data
 
     def _decode(self, data: bytes) -> Envelope | None:
         self.received_bytes += len(data)
@@ -192,6 +209,7 @@
         except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
             self._record_malformed(error)
             return None
+        self._traffic.record_received(type(envelope.body).__name__, len(data))
         self._logical.merge(envelope.clock)
         return envelope
 
--- a/src/firladder/_internal/network/http_client.py
+++ b/src/firladder/_internal/network/http_client.py
@@ -1,6 +1,7 @@
 """Call external systems over HTTP and report how far a failed call got."""
 
 import asyncio
+import functools
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -23,6 +24,7 @@
 from zope.interface import implementer
 
 from ..exceptions import AnswerTooLarge, NotSent, SentUnanswered
+from .traffic import OTHER_KIND, TrafficMeter, measure_headers
 
 CONNECT_TIMEOUT_S = 1.0
 """Time for a TCP connection; hosts are a millisecond apart."""
@@ -53,13 +55,15 @@
 class _BytesProducer:
     """Send a body of known length and record when sending has started."""
 
-    def __init__(self, body: bytes) -> None:
+    def __init__(self, body: bytes, on_start: Callable[[], None]) -> None:
         self._body = body
+        self._on_start = on_start
         self.length = len(body)
         self.started = False
 
     def startProducing(self, consumer: Any) -> Any:  # noqa: N802
         self.started = True
+        self._on_start()
         consumer.write(self._body)
         return succeed(None)
 
@@ -126,7 +130,7 @@
 class _BodyCollector(_BodyReader):
     """Collect a body of at most ``max_bytes``."""
 
-    def __init__(self, max_bytes: int, on_receive: Callable[[], None]) -> None:
+    def __init__(self, max_bytes: int, on_receive: Callable[[int], None]) -> None:
         super().__init__(self._append_chunk)
         self._on_receive = on_receive
         self._max_bytes = max_bytes
@@ -139,7 +143,7 @@
         return b"".join(self._chunks)
 
     def _append_chunk(self, chunk: bytes) -> None:
-        self._on_receive()
+        self._on_receive(len(chunk))
         self._size += len(chunk)
         if self._size > self._max_bytes:
             self.abort()
@@ -186,6 +190,7 @@
         max_idle_per_host: int = 8,
         persistent: bool = True,
         source_ip: str = "",
+        traffic: TrafficMeter | None = None,
     ) -> None:
         """Keep at most ``max_idle_per_host`` idle connections to each host.
 
@@ -199,6 +204,7 @@
         # the peer. Only the caller knows whether that is safe.
         pool.retryAutomatically = False
         self._pool = pool
+        self._traffic = traffic or TrafficMeter()
         self.chunks_received = 0
         """Response chunks received so far; an increase shows that a server responds."""
         self._agent = Agent.usingEndpointFactory(
@@ -216,6 +222,7 @@
         send_within_s: float | None = None,
         stall_timeout_s: float | None = None,
         max_bytes: int = MAX_RESPONSE_BYTES,
+        kind: str = OTHER_KIND,
     ) -> HttpResponse | NotSent | SentUnanswered:
         """Send a request; return the complete response, or how far the call got.
 
@@ -227,15 +234,23 @@
         A body of more than ``max_bytes`` is not read: ``AnswerTooLarge``.
         A request with a body that gets no connection within ``send_within_s`` is
         never sent: ``NotSent``.
+        The traffic is counted under ``kind``.
         """
         outcome = await self._request(
-            method, url, body, headers, timeout_s, send_within_s=send_within_s
+            method,
+            url,
+            body,
+            headers,
+            timeout_s,
+            send_within_s=send_within_s,
+            kind=kind,
         )
         if isinstance(outcome, NotSent | SentUnanswered):
             return outcome
         response, remaining_s = outcome
-        self._count_chunk()
-        reader = _BodyCollector(max_bytes, self._count_chunk)
+        began_at = asyncio.get_running_loop().time()
+        self._count_chunk(kind, measure_headers(response.headers))
+        reader = _BodyCollector(max_bytes, functools.partial(self._count_chunk, kind))
         response.deliverBody(reader)
         if response.length is not UNKNOWN_LENGTH and response.length > max_bytes:
             reader.abort()
@@ -245,6 +260,8 @@
         finally:
             # Also when the caller is cancelled: the rest of the body isn't needed.
             _abort(reader)
+            took_s = asyncio.get_running_loop().time() - began_at
+            self._traffic.record_body(kind, took_s)
         if reader.too_large:
             return AnswerTooLarge(reason=f"response of more than {max_bytes} bytes")
         if not completed:
@@ -254,8 +271,9 @@
             return SentUnanswered(reason=reason)
         return HttpResponse(response.code, _flatten(response.headers), reader.body)
 
-    def _count_chunk(self) -> None:
+    def _count_chunk(self, kind: str, size: int) -> None:
         self.chunks_received += 1
+        self._traffic.record_received(kind, size)
 
     async def stream(
         self, method: str, url: str, *, body: bytes = b"", timeout_s: float
@@ -286,13 +304,24 @@
         timeout_s: float,
         *,
         send_within_s: float | None = None,
+        kind: str = OTHER_KIND,
     ) -> tuple[Any, float] | NotSent | SentUnanswered:
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout_s
-        producer = _BytesProducer(body)
+        began_at = loop.time()
+        deadline = began_at + timeout_s
         raw = Headers({k: [v] for k, v in (headers or {}).items()})
         if body:
             raw.setRawHeaders("Content-Type", ["application/json"])
+        size = len(method) + len(url) + measure_headers(raw) + len(body)
+
+        def record_sending() -> None:
+            self._traffic.record_sent(kind, size)
+            self._traffic.record_connect(kind, loop.time() - began_at)
+
+        producer = _BytesProducer(body, record_sending)
+        if not body:
+            self._traffic.record_sent(kind, size)
+        answered = False
         deferred = self._agent.request(
             method.encode(), url.encode(), raw, producer if body else None
         )
@@ -303,6 +332,7 @@
                 if not (future.done() or producer.started):
                     return NotSent(reason="timed out before sending")
             response = await asyncio.wait_for(future, deadline - loop.time())
+            answered = True
         except _CONNECT_ERRORS as error:
             return NotSent(reason=f"cannot connect: {error}")
         except TimeoutError:
@@ -315,6 +345,7 @@
             # No effect on a completed call. A call whose caller was cancelled would
             # otherwise continue without a timeout.
             future.cancel()
+            self._traffic.record_answer(kind, loop.time() - began_at, answered=answered)
         return response, max(0.001, deadline - loop.time())
 
     def drop_idle_connections(self) -> None:
--- a/src/firladder/_internal/network/http_server.py
+++ b/src/firladder/_internal/network/http_server.py
@@ -30,6 +30,7 @@
     LimitedSite,
 )
 from .listening import HANDSHAKE_GRACE_S, ignore_new_connections
+from .traffic import OTHER_KIND, TrafficMeter, measure_headers
 
 logger = logging.getLogger(__name__)
 
@@ -118,8 +119,18 @@
 
     isLeaf = True  # noqa: N815
 
-    def __init__(self, app: Any, routes: Routes, tasks: TaskSet) -> None:
+    def __init__(
+        self,
+        app: Any,
+        routes: Routes,
+        tasks: TaskSet,
+        *,
+        traffic: TrafficMeter,
+        kind: str,
+    ) -> None:
         super().__init__()
+        self._traffic = traffic
+        self._kind = kind
         self._app = app
         self._routes = routes
         self._tasks = tasks
@@ -151,6 +162,8 @@
             await _write_stream(request, reply.stream, disconnected)
             return
         request.setHeader("Content-Length", str(len(reply.body)))
+        size = len(reply.body) + measure_headers(request.responseHeaders)
+        self._traffic.record_sent(self._kind, size)
         request.write(reply.body)
         request.finish()
 
@@ -160,13 +173,16 @@
         if isinstance(found, Failure):
             return reply_failure(found)
         handler, params = found
+        body = request.content.read()
+        size = len(request.uri) + measure_headers(request.requestHeaders) + len(body)
+        self._traffic.record_received(self._kind, size)
         call = HttpCall(
             request.method.decode("latin-1"),
             path,
             params,
             _first_values(request.args),
             _read_headers(request),
-            request.content.read(),
+            body,
             str(request.getClientAddress().host),
             disconnected,
             request.transport,
@@ -221,11 +237,18 @@
         max_body_bytes: int = MAX_BODY_BYTES,
         max_connections: int = MAX_CONNECTIONS,
         request_timeout_s: float = REQUEST_TIMEOUT_S,
+        traffic: TrafficMeter | None = None,
+        kind: str = OTHER_KIND,
     ) -> None:
-        """Serve ``routes`` with ``app`` as the first argument of each handler."""
+        """Serve ``routes`` with ``app`` as the first argument of each handler.
+
+        The traffic is counted under ``kind``.
+        """
         self._tasks = TaskSet()
         self._site = LimitedSite(
-            _Root(app, routes, self._tasks),
+            _Root(
+                app, routes, self._tasks, traffic=traffic or TrafficMeter(), kind=kind
+            ),
             max_body_bytes=max_body_bytes,
             max_connections=max_connections,
             request_timeout_s=request_timeout_s,
--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -13,6 +13,7 @@
 from ..network.fabric import Fabric
 from ..network.http_client import HttpClient
 from ..network.http_server import HttpServer
+from ..network.traffic import TrafficMeter
 from ..platform.configuration import CONFIGURATION_PREFIX
 from ..platform.settings import NodeSettings, read_node_settings
 from ..platform.store import Change, Item, Listing, PlatformStore
@@ -100,13 +101,18 @@
         self._load_timeout_s = LOAD_TIMEOUT_S
         self._stopping = asyncio.Event()
         self._leader_missing = asyncio.Event()
+        self._traffic = TrafficMeter()
         self._worker_http = HttpClient(
-            max_idle_per_host=MAX_WORKER_CONNECTIONS, source_ip=self.settings.ip
+            max_idle_per_host=MAX_WORKER_CONNECTIONS,
+            source_ip=self.settings.ip,
+            traffic=self._traffic,
         )
         self.store = PlatformStore(
             address=self.settings.store_address,
             http=HttpClient(
-                max_idle_per_host=MAX_STORE_CONNECTIONS, source_ip=self.settings.ip
+                max_idle_per_host=MAX_STORE_CONNECTIONS,
+                source_ip=self.settings.ip,
+                traffic=self._traffic,
             ),
             clock=self.clock,
         )
@@ -115,6 +121,7 @@
             address=f"{self.settings.ip}:{self.settings.peer_port}",
             sender=f"{self.settings.vm}/{self.incarnation}",
             logical=self.logical,
+            traffic=self._traffic,
         )
         self.configuration = ConfigurationCache()
         self.configuration.listeners.append(self._on_configuration_adopted)
@@ -166,9 +173,15 @@
             ),
         )
         self.client_api = ClientApi(self, self.records)
-        self._client_server = HttpServer(self, self.client_api)
-        self._ready_server = HttpServer(self, READY)
-        self._metrics_server = HttpServer(self, METRICS)
+        self._client_server = HttpServer(
+            self, self.client_api, traffic=self._traffic, kind="clients"
+        )
+        self._ready_server = HttpServer(
+            self, READY, traffic=self._traffic, kind="readiness"
+        )
+        self._metrics_server = HttpServer(
+            self, METRICS, traffic=self._traffic, kind="metrics"
+        )
         PeerHandlers(self).register()
 
     async def run(self) -> None:
@@ -354,6 +367,7 @@
             rng=self.rng,
             timeline=self.timeline,
             on_order=self.metrics.observe_order,
+            traffic=self._traffic,
             load_timeout_s=self._load_timeout_s,
         )
         self.term = term
--- a/src/firladder/_internal/node/leader_load.py
+++ b/src/firladder/_internal/node/leader_load.py
@@ -22,6 +22,7 @@
     unanswered: int = 0
     longest_wait_s: float = 0.0
     longest_answer_s: float = 0.0
+    longest_urgent_start_s: float = 0.0
     writes: int = 0
     longest_write_s: float = 0.0
 
@@ -53,13 +54,24 @@
         """Add one delay of the event loop."""
         self._window.longest_lag_s = max(self._window.longest_lag_s, lag_s)
 
-    def record_order(self, waited_s: float, took_s: float, *, answered: bool) -> None:
+    def record_order(
+        self,
+        waited_s: float,
+        took_s: float,
+        *,
+        answered: bool,
+        urgent_start: bool = False,
+    ) -> None:
         """Add one order: its time in the queue and until its answer or timeout."""
         window = self._window
         window.orders += 1
         window.unanswered += not answered
         window.longest_wait_s = max(window.longest_wait_s, waited_s)
         window.longest_answer_s = max(window.longest_answer_s, took_s)
+        if urgent_start:
+            window.longest_urgent_start_s = max(
+                window.longest_urgent_start_s, waited_s + took_s
+            )
 
     def record_write(self, took_s: float) -> None:
         """Add one write of records to the store."""
--- a/src/firladder/_internal/node/session_context.py
+++ b/src/firladder/_internal/node/session_context.py
@@ -28,7 +28,13 @@
         """Schedule a planning pass and a write of changed jobs."""
 
     def record_order(
-        self, kind: str, waited_s: float, took_s: float, *, answered: bool
+        self,
+        kind: str,
+        waited_s: float,
+        took_s: float,
+        *,
+        answered: bool,
+        urgent_start: bool,
     ) -> None:
         """Record how long a sent order was queued and how long its answer took."""
 
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -17,6 +17,7 @@
 from ..engine.state import Worker
 from ..exceptions import MalformedBody, NotLeader
 from ..models.workload import QueueConfiguration
+from ..network.traffic import TrafficMeter
 from ..platform.discovery import WORKER_PREFIX, decode_worker
 from ..platform.evacuation import EVACUATION_PREFIX
 from ..platform.settings import NodeSettings
@@ -77,6 +78,7 @@
         rng: random.Random,
         timeline: Timeline,
         on_order: ObserveOrder,
+        traffic: TrafficMeter | None = None,
         load_timeout_s: float = LOAD_TIMEOUT_S,
     ) -> None:
         """Prepare to lead under ``leadership``; nothing is read or sent yet."""
@@ -87,6 +89,7 @@
         self.calls = calls
         self.timeout_estimator = TimeoutEstimator()
         self._leader_load = LeaderLoad()
+        self._traffic = traffic or TrafficMeter()
         self.clock = clock
         self.leadership = leadership
         self._store = store
@@ -151,10 +154,18 @@
         self._pass_requested.set()
 
     def record_order(
-        self, kind: str, waited_s: float, took_s: float, *, answered: bool
+        self,
+        kind: str,
+        waited_s: float,
+        took_s: float,
+        *,
+        answered: bool,
+        urgent_start: bool,
     ) -> None:
         """Record how long a sent order was queued and how long its answer took."""
-        self._leader_load.record_order(waited_s, took_s, answered=answered)
+        self._leader_load.record_order(
+            waited_s, took_s, answered=answered, urgent_start=urgent_start
+        )
         self._on_order(kind, waited_s, took_s)
 
     def adopt_configuration(self, configuration: QueueConfiguration) -> None:
@@ -193,6 +204,8 @@
 
     def _start_loops(self) -> None:
         self.ready = True
+        # The first report is about this term, not about the time before it.
+        self._traffic.take_report()
         writer = self._tasks.spawn(self._progress_writer.run(), name="journal")
         writer.add_done_callback(self._on_progress_writer_end)
         self._tasks.spawn(self._plan_forever(), name="plan")
@@ -424,7 +437,12 @@
         report = self._leader_load.take_report(now, queued=queued)
         if report is not None:
             timeout_s = round(self.timeout_estimator.timeout_s, 3)
-            self._timeline.record(Event.LEADER_LOAD, timeout_s=timeout_s, **report)
+            self._timeline.record(
+                Event.LEADER_LOAD,
+                timeout_s=timeout_s,
+                traffic=self._traffic.take_report(),
+                **report,
+            )
 
     def _record_decision(self, what: str, **inputs: object) -> None:
         self._timeline.record(
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -18,7 +18,7 @@
 )
 from ..models.order import WorkerReport
 from ..utils.logs import PRIORITY_ATTRIBUTE
-from .orders import Order, OrderQueue
+from .orders import Order, OrderQueue, Rank
 from .session_context import SessionContext
 from .timeout_estimator import MAX_TIMEOUT_S
 
@@ -377,7 +377,13 @@
     ) -> None:
         waited_s, took_s = sent_at - order.queued_at, now - sent_at
         answered = not isinstance(answer, SentUnanswered | NotSent)
-        self._context.record_order(order.kind, waited_s, took_s, answered=answered)
+        self._context.record_order(
+            order.kind,
+            waited_s,
+            took_s,
+            answered=answered,
+            urgent_start=order.rank is Rank.URGENT_START,
+        )
         late = waited_s >= LATE_ORDER_WAIT_S
         if isinstance(answer, float) and not late:
             return
--- a/src/firladder/_internal/platform/store.py
+++ b/src/firladder/_internal/platform/store.py
@@ -142,6 +142,11 @@
         return b""
 
 
+def _name_prefix(writes: Sequence[Write], remove: Sequence[str]) -> str:
+    keys = [*(w.key for w in writes), *remove]
+    return keys[0].rpartition("/")[0] if keys else ""
+
+
 def _convert(item: _Item) -> Item:
     return Item(item.key, _decode_value(item.value), item.revision)
 
@@ -193,6 +198,7 @@
                 query,
                 timeout_s=PAGE_START_TIMEOUT_S,
                 stall_timeout_s=STALL_TIMEOUT_S,
+                about=prefix,
             )
             if not isinstance(response, HttpResponse):
                 return response
@@ -231,6 +237,7 @@
             timeout_s=wait_s + WATCH_MARGIN_S,
             stall_timeout_s=STALL_TIMEOUT_S,
             max_bytes=max_bytes,
+            about=prefix,
         )
         if isinstance(response, StoreAnswerTooLarge):
             return HistoryLost(reason=response.reason)
@@ -273,7 +280,11 @@
             "remove": list(remove),
         }
         response = await self._call(
-            "POST", "/-/kv-txn", body=encode_json(body), timeout_s=timeout_s
+            "POST",
+            "/-/kv-txn",
+            body=encode_json(body),
+            timeout_s=timeout_s,
+            about=_name_prefix(writes, remove),
         )
         if not isinstance(response, HttpResponse):
             return response
@@ -328,6 +339,7 @@
         timeout_s: float = CALL_TIMEOUT_S,
         stall_timeout_s: float | None = None,
         max_bytes: int = MAX_RESPONSE_BYTES,
+        about: str = "",
     ) -> HttpResponse | StoreUnavailable | StoreUncertain:
         self.calls += 1
         url = f"http://{self.address}{path}"
@@ -341,6 +353,7 @@
             timeout_s=timeout_s,
             stall_timeout_s=stall_timeout_s,
             max_bytes=max_bytes,
+            kind=f"{path.split('/')[2]} {about}".rstrip(),
         )
         if isinstance(response, AnswerTooLarge):
             return StoreAnswerTooLarge(reason=response.reason)
--- a/src/firladder/_internal/platform/workers.py
+++ b/src/firladder/_internal/platform/workers.py
@@ -189,6 +189,7 @@
             headers={"X-Target-Instance": worker_id},
             timeout_s=timeout_s,
             send_within_s=send_within_s,
+            kind=_choose_kind(path, body),
         )
         if not isinstance(response, HttpResponse):
             return response
@@ -197,6 +198,11 @@
         return _classify_refusal(response)
 
 
+def _choose_kind(path: str, body: dict[str, Any]) -> str:
+    kind = path.rpartition("/")[2]
+    return f"{kind} waiting" if "wait_ms" in body else kind
+
+
 def _classify_refusal(response: HttpResponse) -> OrderFailure:
     if response.status == 421:
         return WorkerReplaced(reason="another incarnation answers at this address")
