--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -356,6 +356,8 @@
             job=unit.job.accepted.job_id,
             victims=sorted({v.job.accepted.job_id for v in found.victims}),
             cost_core_s=round(found.cost, 1),
+            waited_s=round(now - unit.ready_at, 3),
+            guaranteed=self._is_guaranteed(unit),
         )
         stopped = tuple(
             placement
