--- a/features/node_orders.feature
+++ b/features/node_orders.feature
@@ -54,3 +54,10 @@
     Given a leader of 2 workers, one of which accepts no connection
     When a job of 8 small tasks is submitted
     Then all of them are active within 1 s
+
+  Scenario: A worker full of small tasks is cleared in few round trips
+    Guards against urgent work whose room comes one answer after another.
+    Given a leader whose worker runs 8 tasks, and whose answers take 0.1 s
+    When all of them are stopped
+    Then the last stop is sent within 0.25 s of the first
+    And at most 4 stops await their answer at a time
--- a/features/steps/node_order_steps.py
+++ b/features/steps/node_order_steps.py
@@ -210,3 +210,42 @@
     run_in_virtual_time(context.leader.lead(float(seconds)))
     units = context.leader.core.jobs["small"].units
     assert all(unit.all_active for unit in units), units
+
+
+@given("a leader whose worker runs 8 tasks, and whose answers take {seconds:f} s")
+def fill_slow_worker(context, seconds):
+    fill_worker(context)
+    context.leader.calls.answer_s = seconds
+
+
+@when("all of them are stopped")
+def stop_eight(context):
+    leader = context.leader
+
+    async def stop():
+        leading = asyncio.create_task(leader.lead(4.0))
+        await asyncio.sleep(2.0)
+        assert len(leader.calls.running) == 8, leader.calls.running
+        leader.core.cancel_job("job")
+        leader.request_pass()
+        await leading
+        assert leader.calls.running == {}
+
+    run_in_virtual_time(stop())
+    context.stops = [s.at for s in leader.calls.sent if s.kind == "stop"]
+
+
+@then("the last stop is sent within {seconds:f} s of the first")
+def check_cleared(context, seconds):
+    assert len(context.stops) == 8, context.stops
+    assert context.stops[-1] - context.stops[0] <= seconds, context.stops
+
+
+@then("at most {limit:d} stops await their answer at a time")
+def check_parallel(context, limit):
+    answer_s = context.leader.calls.answer_s
+    open_counts = [
+        sum(at <= other < at + answer_s - 1e-6 for other in context.stops)
+        for at in context.stops
+    ]
+    assert max(open_counts) <= limit, context.stops
--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -41,6 +41,7 @@
 from .prefix_watch import PrefixWatch
 from .records import Records
 from .term import LOAD_TIMEOUT_S, Term
+from .worker_session import MAX_PARALLEL_STOPS
 
 logger = logging.getLogger(__name__)
 
@@ -64,7 +65,7 @@
 SLOW_LOAD_PAUSE_S = 1.0
 """Seconds until the next campaign after a term whose records were not read in time."""
 
-MAX_WORKER_CONNECTIONS = 4
+MAX_WORKER_CONNECTIONS = 2 + MAX_PARALLEL_STOPS
 """Maximum connections to a worker: a waiting poll, an immediate poll, and orders."""
 
 MAX_STORE_CONNECTIONS = 16
--- a/src/firladder/_internal/node/orders.py
+++ b/src/firladder/_internal/node/orders.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import enum
+import heapq
 import itertools
 
 from ..engine.state import Placement
@@ -54,14 +55,15 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self._orders: asyncio.PriorityQueue[Order] = asyncio.PriorityQueue()
+        self._orders: list[Order] = []
+        self._available = asyncio.Event()
         self._numbers = itertools.count()
         self._unsent: set[Placement] = set()
         self._stopping: set[Placement] = set()
 
     def __len__(self) -> int:
         """Return the number of queued orders."""
-        return self._orders.qsize()
+        return len(self._orders)
 
     def has_unsent_start(self, placement: Placement) -> bool:
         """Return whether the start of a placement is queued but not sent yet."""
@@ -80,11 +82,26 @@
 
     def _put(self, placement: Placement, now: float, *, start: bool) -> None:
         rank, number = choose_rank(placement, start=start), next(self._numbers)
-        self._orders.put_nowait(Order(rank, number, placement, start, now))
+        heapq.heappush(self._orders, Order(rank, number, placement, start, now))
+        self._available.set()
 
     async def take(self) -> Order:
         """Remove and return the next order; wait for one if there is none."""
-        return await self._orders.get()
+        await self._available.wait()
+        return self._pop()
+
+    def take_stops(self, *, limit: int) -> list[Order]:
+        """Remove and return the next orders, as far as they are stops."""
+        stops: list[Order] = []
+        while len(stops) < limit and self._orders and not self._orders[0].start:
+            stops.append(self._pop())
+        return stops
+
+    def _pop(self) -> Order:
+        order = heapq.heappop(self._orders)
+        if not self._orders:
+            self._available.clear()
+        return order
 
     def mark_start_sent(self, order: Order) -> None:
         """Record that a start is being sent or dropped."""
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -56,6 +56,9 @@
 number. With a single attempt, a gang of a dozen seldom starts while one order in five
 is lost."""
 
+MAX_PARALLEL_STOPS = 4
+"""Stops sent to one worker at a time, each over a connection of its own."""
+
 LATE_ORDER_WAIT_S = 1.0
 """Seconds in the queue from which an order is logged, whatever its answer."""
 
@@ -265,14 +268,19 @@
         self._context.request_pass()
 
     async def send_orders(self) -> None:
-        """Send the queued orders one at a time until the worker is removed."""
+        """Send the queued orders until the worker is removed.
+
+        Starts are sent one at a time, as each extends the worker's lease. Stops do not
+        depend on each other: room for urgent work on a worker full of small tasks
+        would take as many round trips as there are tasks.
+        """
         while not self._removed:
             order = await self._orders.take()
             if order.start:
                 await self._start(order)
             else:
-                await self._stop(order)
-                self._orders.mark_stop_answered(order)
+                more = self._orders.take_stops(limit=MAX_PARALLEL_STOPS - 1)
+                await asyncio.gather(*map(self._stop, (order, *more)))
             if not self._orders or not self._worker.reachable:
                 await self._poll_without_wait()
             self.wake()
@@ -353,6 +361,10 @@
         return answer
 
     async def _stop(self, order: Order) -> None:
+        await self._send_stop(order)
+        self._orders.mark_stop_answered(order)
+
+    async def _send_stop(self, order: Order) -> None:
         context, placement = self._context, order.placement
         stop = self._core.describe_stop(placement)
         if stop is None or placement.key not in self._worker.placements:
