--- a/features/support/gang_faults.py
+++ b/features/support/gang_faults.py
@@ -27,8 +27,10 @@
 )
 from firladder._internal.models.order import EndedTask, RunningTask, WorkerReport
 from firladder._internal.models.workload import AcceptedJob, QueueConfiguration
+from firladder._internal.network.traffic import TrafficMeter
 from firladder._internal.node.election import LEASE_S as LEADER_LEASE_S
 from firladder._internal.node.keys import CANCELS, JOBS, LEADER
+from firladder._internal.node.link_backlog import LinkBacklog
 from firladder._internal.node.term import Term
 from firladder._internal.platform.discovery import WORKER_PREFIX
 from firladder._internal.platform.settings import NodeSettings
@@ -580,6 +582,10 @@
             clock=self._clock,
             rng=self.rng,
             timeline=timeline,
+            traffic=TrafficMeter(),
+            backlog=LinkBacklog(
+                link_mbps=1000.0, read_clock=self._clock.read_monotonic
+            ),
             on_order=lambda kind, waited_s, took_s: None,
         )
         term.client = client
--- a/src/firladder/_internal/node/orders.py
+++ b/src/firladder/_internal/node/orders.py
@@ -6,7 +6,7 @@
 import heapq
 from collections.abc import Iterator
 
-from ..engine.state import Placement
+from ..engine.state import Phase, Placement
 
 
 class Rank(enum.IntEnum):
@@ -91,6 +91,14 @@
             self._added.clear()
             await self._added.wait()
 
+    @property
+    def next_is_unwanted(self) -> bool:
+        """Return whether the next order is a start whose run has been aborted."""
+        if not self._orders:
+            return False
+        order = self._orders[0]
+        return order.start and order.placement.phase is not Phase.SENT
+
     @property
     def next_is_stop(self) -> bool:
         """Return whether there is a next order, and it is a stop."""
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -19,7 +19,7 @@
 from ..models.order import WorkerReport
 from ..utils.logs import PRIORITY_ATTRIBUTE
 from .order_window import Turn
-from .orders import Order, OrderQueue
+from .orders import Order, OrderQueue, Rank
 from .session_context import SessionContext
 from .timeout_estimator import MAX_TIMEOUT_S
 
@@ -59,6 +59,9 @@
 number. With a single attempt, a gang of a dozen seldom starts while one order in five
 is lost."""
 
+ORDER_HEADER_BYTES = 350
+"""Bytes of an order besides the job's payload."""
+
 MAX_ORDERS_IN_FLIGHT = 4
 """Maximum orders of one worker whose answers are awaited: stops, and overdue starts."""
 
@@ -70,6 +73,14 @@
 durable. A worker answers at once while it has unacknowledged ends."""
 
 
+def estimate_size(order: Order) -> int:
+    """Return the bytes of an order on the link, without those of its packets."""
+    unit = order.placement.unit
+    if not order.start or unit is None:
+        return ORDER_HEADER_BYTES
+    return ORDER_HEADER_BYTES + len(unit.job.accepted.workload.payload)
+
+
 def increase_retry_pause(pause_s: float, *, holds_runs: bool) -> float:
     """Return the pause after another failed poll, in seconds."""
     return min(
@@ -106,12 +117,14 @@
             self._orders.add_start(placement, now)
         elif self._orders.has_unsent_start(placement):
             self._core.drop_unsent(placement)
+            if self._turn is not None and self._orders.next_is_unwanted:
+                self._context.order_window.skip(self._turn)
             self._context.request_pass()
         else:
             self._orders.add_stop(placement, now)
-        if self._turn is not None and self._orders:
+        if self._turn is not None:
             # The new order may be of a higher rank than the one that waits.
-            self._context.order_window.promote(self._turn, self._orders.find_next())
+            self._promote_turn(self._turn)
 
     @property
     def queued_orders(self) -> int:
@@ -303,10 +316,17 @@
 
     async def _await_turn(self) -> None:
         """Wait until the next order may be sent; it may be another one by then."""
-        self._turn = self._context.order_window.request(self._orders.find_next())
+        window, order = self._context.order_window, self._orders.find_next()
+        self._turn = window.request(order, size=estimate_size(order))
+        if self._orders.next_is_unwanted:
+            window.skip(self._turn)
         await self._turn
         self._turn = None
 
+    def _promote_turn(self, turn: Turn) -> None:
+        order = self._orders.find_next()
+        self._context.order_window.promote(turn, order, size=estimate_size(order))
+
     async def _end_turn(self, task: asyncio.Task[None]) -> None:
         """End the turn of an order that was answered or is overdue."""
         overdue_s = self._context.timeout_estimator.overdue_s
@@ -318,7 +338,6 @@
             await self._start(order)
         else:
             await self._stop(order)
-            self._orders.mark_stop_answered(order)
         if not self._orders or not self._worker.reachable:
             await self._poll_without_wait()
         self.wake()
@@ -402,6 +421,10 @@
         return answer
 
     async def _stop(self, order: Order) -> None:
+        await self._send_stop(order)
+        self._orders.mark_stop_answered(order)
+
+    async def _send_stop(self, order: Order) -> None:
         context, placement = self._context, order.placement
         stop = self._core.describe_stop(placement)
         if stop is None or placement.key not in self._worker.placements:
@@ -426,7 +449,13 @@
     ) -> None:
         waited_s, took_s = sent_at - order.queued_at, now - sent_at
         answered = not isinstance(answer, SentUnanswered | NotSent)
-        self._context.record_order(order.kind, waited_s, took_s, answered=answered)
+        self._context.record_order(
+            order.kind,
+            waited_s,
+            took_s,
+            answered=answered,
+            urgent_start=order.rank is Rank.URGENT_START,
+        )
         late = waited_s >= LATE_ORDER_WAIT_S
         if isinstance(answer, float) and not late:
             return
