--- a/features/node_gang_apart.feature
+++ b/features/node_gang_apart.feature
@@ -22,6 +22,30 @@
     When the leader hands over while a start is lost, to a worker that is then silent for 3 s
     Then no member of the gang ends alone
 
+  Scenario: A successor that reads the records slowly does not leave a member waiting
+    Guards against a handover while a gang is only partly started.
+    Given a leader of 2 workers, all of whose answers take 0.01 s
+    When the leader hands over while a start is lost, and each listing then takes 0.7 s
+    Then no member of the gang ends alone
+
+  Scenario: A member is stopped in time although its stops are lost
+    Guards against a gang that is aborted so late that lost stops are not made up for.
+    Given a leader of 2 workers, all of whose answers take 0.01 s
+    When a gang is aborted as no start to one worker is answered, and 4 stops are lost
+    Then no member of the gang ends alone
+
+  Scenario: A start that is lost behind a slow link is given up in time
+    Guards against three attempts that together take longer than a member waits.
+    Given a leader of 2 workers, all of whose answers take 0.01 s
+    When its answers come to take 0.45 s, and 3 starts of a gang are then lost
+    Then no member of the gang ends alone
+
+  Scenario: A gang whose last member started late does not stand still
+    Guards against aborting a gang that has just begun, and avoiding its first worker.
+    Given a leader of 2 workers, all of whose answers take 0.01 s
+    When its answers come to take 0.45 s, and 2 starts of a gang are then lost
+    Then no run of the gang is stopped once it is whole
+
   Scenario Outline: Work begins behind a slow link
     Guards against a leader that never claims a worker because its polls time out.
     Given a leader of 2 workers, all of whose answers take <answer> s
@@ -44,6 +68,11 @@
     When the leader changes in each way at each of 6 times after a start with a fault
     Then in each play no member waits for longer than 2.9 s, and the gang is done
 
+  Scenario: A fault of any one write delays the members of a gang by little
+    Guards against a record that is lost or late when the leader changes.
+    When each of the first 3 writes has a fault, with and without a change of the leader
+    Then in each play no member waits for longer than 2.9 s, and the gang is done
+
   Scenario: Gangs are completed through faults drawn at random
     Guards against tasks that run twice or never again after some order of events.
     When 30 plays of 6 jobs have faults, restarts, outages and changes of the leader
--- a/features/steps/node_gang_apart_steps.py
+++ b/features/steps/node_gang_apart_steps.py
@@ -4,6 +4,7 @@
 from behave import given, then, when
 
 from features.support.gang_faults import (
+    STORE,
     Fate,
     Fault,
     GangPlay,
@@ -79,6 +80,67 @@
     context.play = GangPlay(2, faults=faults).play(script, seconds=20.0)
 
 
+def lose_starts(count, *, after=0):
+    """Return faults that lose the next starts to the second worker."""
+    return [Fault("start", 1, Fate.LOST, number=after + n + 1) for n in range(count)]
+
+
+@when(
+    "the leader hands over while a start is lost, and each listing then takes"
+    " {listing:f} s"
+)
+def hand_over_slowly(context, listing):
+    async def script(play):
+        play.submit("gang", count=2)
+        await asyncio.sleep(0.2)
+        play.store.listing_s = listing
+        await play.succeed("handed over")
+
+    context.play = GangPlay(2, faults=lose_starts(START_ATTEMPTS))
+    context.play.play(script, seconds=20.0)
+
+
+@when(
+    "a gang is aborted as no start to one worker is answered, and {stops:d} stops are"
+    " lost"
+)
+def lose_stops(context, stops):
+    async def script(play):
+        play.submit("gang", count=2)
+
+    faults = lose_starts(START_ATTEMPTS)
+    faults += [Fault("stop", 0, Fate.LOST, number=n + 1) for n in range(stops)]
+    context.play = GangPlay(2, faults=faults).play(script, seconds=20.0)
+
+
+@when(
+    "its answers come to take {answer:f} s, and {starts:d} starts of a gang are then"
+    " lost"
+)
+def slow_down(context, answer, starts):
+    async def script(play):
+        play.submit("first", count=8, gang=False, need=1)
+        await asyncio.sleep(0.3)
+        term, _ = play.terms[-1]
+        term.calls.answer_s = answer
+        # The timeout of the next orders adapts to the answers to these starts.
+        play.submit("second", count=5, gang=False, need=1)
+        await asyncio.sleep(4.0)
+        play.faults += lose_starts(starts, after=play.calls.get(("start", 1), 0))
+        play.submit("gang", count=2, need=17)
+
+    context.play = GangPlay(2, accelerators=32, takes_s=12.0)
+    context.play.play(script, seconds=25.0)
+
+
+@then("no run of the gang is stopped once it is whole")
+def check_goes_on(context):
+    play = context.play
+    aborted = [m for m in play.members if m.size > 1 and m.whole_at and m.how != "done"]
+    decisions = [what for what, _ in play.decisions if what == "run stands still"]
+    assert not aborted, (describe(play), decisions)
+
+
 @when("a gang of 2 is submitted to it")
 def submit_slow(context):
     async def script(play):
@@ -162,6 +224,30 @@
         assert not play.find_overlaps(), (what, describe(play))
 
 
+@when(
+    "each of the first {writes:d} writes has a fault, with and without a change of the"
+    " leader"
+)
+def play_writes(context, writes):
+    ways = (None, "killed", "handed over", "cut off")
+    context.plays = {}
+    fates = FATES[1:6]
+    for way, number, (fate, late_s) in itertools.product(
+        ways, range(1, writes + 1), fates
+    ):
+
+        async def script(play, way=way):
+            play.submit("gang", count=2)
+            await asyncio.sleep(1.13)
+            if way is not None:
+                await play.succeed(way)
+
+        faults = lose_starts(START_ATTEMPTS)
+        faults.append(Fault("write", STORE, fate, number=number, late_s=late_s))
+        play = GangPlay(3, faults=faults).play(script, seconds=25.0)
+        context.plays[way, number, fate, late_s] = play
+
+
 @when(
     "{plays:d} plays of 6 jobs have faults, restarts, outages and changes of the leader"
 )
--- a/features/support/gang_faults.py
+++ b/features/support/gang_faults.py
@@ -51,6 +51,8 @@
 ENTRY_TTL_S = 3 * HEARTBEAT_S
 ELECTION_S = 0.15
 STORE_S = 0.004
+STORE = -1
+"""The store in the place of a machine's number in a fault."""
 
 
 class Fate(enum.Enum):
@@ -148,6 +150,7 @@
         self.outages: list[tuple[float, float]] = []
         self.changed = asyncio.Event()
         self.reachable = True
+        self.listing_s = 0.0
 
     def put(self, key: str, value: bytes) -> int:
         self.revision += 1
@@ -173,8 +176,9 @@
 class StoreClient:
     """One node's view of the store; ``cut`` is set while the node cannot reach it."""
 
-    def __init__(self, store: FaultyStore) -> None:
+    def __init__(self, store: FaultyStore, play: "GangPlay") -> None:
         self.store = store
+        self.play = play
         self.cut = False
 
     async def _reach(self, timeout_s: float) -> bool:
@@ -187,6 +191,7 @@
     async def read_range(self, prefix: str):
         if not await self._reach(0.8):
             return NO_STORE
+        await asyncio.sleep(self.store.listing_s)
         items = tuple(i for k, i in self.store.items.items() if k.startswith(prefix))
         return Listing(items, self.store.revision)
 
@@ -215,6 +220,25 @@
     async def commit(self, *, expected, writes=(), remove=(), timeout_s=0.8):
         if not await self._reach(timeout_s):
             return NO_STORE
+        fault = self.play.choose_fault("write", STORE)
+        if fault.fate in (Fate.LOST, Fate.NOT_SENT):
+            await asyncio.sleep(timeout_s)
+            return NO_STORE
+        if fault.fate is Fate.LATE:
+            self.play.spawn(self._apply_late(fault.late_s, expected, writes, remove))
+            await asyncio.sleep(timeout_s)
+            return NO_STORE
+        outcome = self._apply(expected, writes, remove)
+        if fault.fate is Fate.UNANSWERED:
+            await asyncio.sleep(timeout_s)
+            return NO_STORE
+        return outcome
+
+    async def _apply_late(self, late_s, expected, writes, remove):
+        await asyncio.sleep(late_s)
+        self._apply(expected, writes, remove)
+
+    def _apply(self, expected, writes, remove):
         store = self.store
         held = {k: store.items.get(k, Item(k, b"", 0)) for k, _ in expected}
         if any(held[key].revision != revision for key, revision in expected):
@@ -566,7 +590,7 @@
         """Begin a term under a new token."""
         self._succeeding = False
         token = self.store.put(LEADER, b"")
-        client = StoreClient(self.store)
+        client = StoreClient(self.store, self)
         settings = NodeSettings(
             "vm", "10.0.0.1", "d", "", "", "", 1, (), "", MAX_LEASE_S, 120.0, 2.7,
             0.3, 2.0, 1000.0,
