--- a/features/support/gang_faults.py
+++ b/features/support/gang_faults.py
@@ -303,11 +303,16 @@
             order.worker_id,
             lambda m: self._start(m, order, deadline_s),
             timeout_s,
+            send_within_s,
         )
 
     async def stop(self, order, *, send_within_s, timeout_s):
         return await self._call(
-            "stop", order.worker_id, lambda m: self._stop(m, order), timeout_s
+            "stop",
+            order.worker_id,
+            lambda m: self._stop(m, order),
+            timeout_s,
+            send_within_s,
         )
 
     async def poll(
@@ -318,9 +323,10 @@
             worker_id,
             lambda m: self._poll(m, acknowledged, deadline_s, wait_s),
             timeout_s,
+            timeout_s,
         )
 
-    async def _call(self, kind, worker_id, carry_out, timeout_s):
+    async def _call(self, kind, worker_id, carry_out, timeout_s, send_within_s):
         play = self.play
         machine = play.find_machine(worker_id)
         fault = play.choose_fault(kind, machine.number)
@@ -329,7 +335,7 @@
             await asyncio.sleep(self.answer_s)
             return NotSent(reason="cannot connect")
         if fault.fate is Fate.NOT_SENT:
-            await asyncio.sleep(timeout_s)
+            await asyncio.sleep(send_within_s)
             return NotSent(reason="timed out before sending")
         late = fault.fate is Fate.LATE
         until = play.now + timeout_s
