--- a/features/node_orders.feature
+++ b/features/node_orders.feature
@@ -61,3 +61,28 @@
     When all of them are stopped
     Then the last stop is sent within 0.25 s of the first
     And at most 4 stops await their answer at a time
+
+  Scenario: Urgent work does not wait behind starts that fill the leader's link
+    Guards against guaranteed work that begins late behind starts to other workers.
+    Given a leader of 41 workers behind a link of 2 Mbit/s
+    When 40 tasks of 3000 bytes are submitted, one for each worker, and an urgent one 0.1 s later
+    Then the urgent one is active 0.15 s after that
+    And all of the others are active within 0.9 s
+
+  Scenario: Starts do not wait for a link that other traffic keeps full
+    Guards against lower work that never begins behind a link without a pause.
+    Given a leader of 4 workers behind a link of 2 Mbit/s that is never free
+    When 4 tasks of 3000 bytes are submitted
+    Then all of the others are active within 2.5 s
+
+  Scenario: Starts that wait for the link leave in the order of their age
+    Guards against gangs whose members start far apart because others overtake them.
+    Given a link of 2 Mbit/s that is busy for 0.2 s
+    When starts queued at 3, 1 and 2 s wait for it, and the oldest is withdrawn
+    Then those of 2 and 3 s leave in this order, 0.17 s later at the earliest
+
+  Scenario: Starts that are no longer wanted do not take turns
+    Guards against new work that waits for the link behind work that was cancelled.
+    Given a leader of 41 workers behind a link of 2 Mbit/s
+    When 40 tasks of 3000 bytes are submitted, and cancelled for one more 0.1 s later
+    Then that one is active 0.15 s after that
--- a/features/steps/node_order_steps.py
+++ b/features/steps/node_order_steps.py
@@ -4,7 +4,8 @@
 
 from features.support.engine_world import make_job, make_step
 from features.support.fake_workers import SimulatedLeader
-from features.support.virtual_time import run_in_virtual_time
+from features.support.virtual_time import VirtualClock, run_in_virtual_time
+from firladder._internal.node.start_pacer import LinkBacklog, StartPacer
 
 
 @given("a leader whose worker runs 8 tasks and then stops answering")
@@ -249,3 +250,122 @@
         for at in context.stops
     ]
     assert max(open_counts) <= limit, context.stops
+
+
+@given("a leader of {workers:d} workers behind a link of 2 Mbit/s")
+def lead_behind_link(context, workers):
+    context.leader = SimulatedLeader(workers, link_mbps=2.0)
+    context.leader.calls.link = context.leader.backlog
+
+
+@given("a leader of {workers:d} workers behind a link of 2 Mbit/s that is never free")
+def lead_behind_full_link(context, workers):
+    context.leader = SimulatedLeader(workers, link_mbps=2.0)
+    # The other traffic has links of its own to the workers here, so that only the
+    # pacing is measured.
+    context.leader.backlog.add(10_000_000)
+
+
+def submit_others(leader, step):
+    leader.engine.submit(make_job("others", step, payload="x" * 3000, priority=1))
+
+
+@when(
+    "40 tasks of 3000 bytes are submitted, one for each worker, "
+    "and an urgent one 0.1 s later"
+)
+def submit_forty(context):
+    leader = context.leader
+
+    async def submit():
+        leading = asyncio.create_task(leader.lead(3.0))
+        await asyncio.sleep(0.5)
+        submit_others(leader, make_step(40, 8))
+        leader.request_pass()
+        await asyncio.sleep(0.1)
+        leader.engine.submit(make_job("urgent", make_step(1, 1), priority=0))
+        leader.request_pass()
+        await leading
+
+    run_in_virtual_time(submit())
+    context.submitted_s = 0.5
+
+
+@when("4 tasks of 3000 bytes are submitted")
+def submit_four(context):
+    context.submitted_s = 0.0
+    submit_others(context.leader, make_step(4, 1))
+    run_in_virtual_time(context.leader.lead(3.0))
+
+
+@then("the urgent one is active {seconds:f} s after that")
+def check_urgent(context, seconds):
+    active_at = context.leader.engine.find_unit("urgent").active_since
+    assert 0 < active_at <= context.submitted_s + 0.1 + seconds, active_at
+
+
+@then("all of the others are active within {seconds:f} s")
+def check_others(context, seconds):
+    units = context.leader.core.jobs["others"].units
+    assert all(unit.all_active for unit in units), units
+    last = max(unit.active_since for unit in units)
+    assert last <= context.submitted_s + seconds, last
+
+
+@given("a link of 2 Mbit/s that is busy for 0.2 s")
+def fill_link(context):
+    context.clock = VirtualClock()
+    context.link = LinkBacklog(link_mbps=2.0, read_clock=context.clock.read_monotonic)
+    context.link.add(int(0.2 * context.link.bytes_per_s))
+
+
+@when("starts queued at 3, 1 and 2 s wait for it, and the oldest is withdrawn")
+def wait_for_link(context):
+    context.left = []
+
+    async def wait():
+        pacer = StartPacer(context.link, read_clock=context.clock.read_monotonic)
+        turns = {}
+        for queued_at in (3, 1, 2):
+            turns[queued_at] = pacer.request_turn(queued_at=queued_at, size=6000)
+            turns[queued_at].add_done_callback(
+                lambda turn, queued_at=queued_at: context.left.append(
+                    (queued_at, turn.cancelled(), context.clock.read_monotonic())
+                )
+            )
+        turns[1].cancel()
+        await asyncio.wait(turns.values())
+
+    run_in_virtual_time(wait())
+
+
+@then("those of 2 and 3 s leave in this order, 0.17 s later at the earliest")
+def check_left(context):
+    left = [(queued_at, at) for queued_at, gone, at in context.left if not gone]
+    assert [queued_at for queued_at, _ in left] == [2, 3], context.left
+    assert 0.169 <= left[0][1] <= left[1][1] <= 0.25, context.left
+
+
+@when("40 tasks of 3000 bytes are submitted, and cancelled for one more 0.1 s later")
+def cancel_forty(context):
+    leader = context.leader
+    context.submitted_s = 0.5
+
+    async def submit():
+        leading = asyncio.create_task(leader.lead(3.0))
+        await asyncio.sleep(context.submitted_s)
+        submit_others(leader, make_step(40, 8))
+        leader.request_pass()
+        await asyncio.sleep(0.1)
+        leader.core.cancel_job("others")
+        leader.engine.submit(make_job("one more", make_step(1, 8)))
+        leader.request_pass()
+        await leading
+
+    run_in_virtual_time(submit())
+
+
+@then("that one is active {seconds:f} s after that")
+def check_one_more(context, seconds):
+    active_at = context.leader.engine.find_unit("one more").active_since
+    assert 0 < active_at <= context.submitted_s + 0.1 + seconds, active_at
--- a/features/support/engine_world.py
+++ b/features/support/engine_world.py
@@ -30,8 +30,10 @@
     return Step(count=count, need=need, estimate_s=5.0, **fields)
 
 
-def make_job(name, *steps, priority=1, attempts=3, at=0.0, **fields) -> AcceptedJob:
-    workload = Workload("text", steps, **fields)
+def make_job(
+    name, *steps, priority=1, attempts=3, at=0.0, payload="text", **fields
+) -> AcceptedJob:
+    workload = Workload(payload, steps, **fields)
     return AcceptedJob(
         name,
         f"q{priority}",
--- a/features/support/fake_workers.py
+++ b/features/support/fake_workers.py
@@ -12,6 +12,7 @@
     RunningTask,
     WorkerReport,
 )
+from firladder._internal.node.start_pacer import LinkBacklog, StartPacer
 from firladder._internal.node.timeout_estimator import TimeoutEstimator
 from firladder._internal.node.worker_session import WorkerSession
 
@@ -33,7 +34,7 @@
 
     Each kind in ``lost`` makes the next call of that kind time out; a lost order is
     never executed. With ``silent``, all calls time out. Workers in ``refusing``
-    accept no connection.
+    accept no connection. With a ``link``, orders leave one after the other at its rate.
     """
 
     def __init__(self, answer_s: float = 0.01) -> None:
@@ -41,6 +42,7 @@
         self.lost: list[str] = []
         self.silent = False
         self.refusing: set[str] = set()
+        self.link: LinkBacklog | None = None
         self.running: dict = {}
         self.ended: dict[str, list[EndedTask]] = {}
         self._end_available = asyncio.Event()
@@ -103,6 +105,7 @@
     async def _execute(self, kind, order, timeout_s):
         if await self._lose(kind, timeout_s):
             return NO_ANSWER
+        await self._pass_link(order)
         await asyncio.sleep(self.answer_s / 2)
         if kind == "stop":
             self.last_stopped_runs[order.task] = max(
@@ -115,6 +118,11 @@
         await asyncio.sleep(self.answer_s / 2)
         return self._now() if self.answer_s <= timeout_s else NO_ANSWER
 
+    async def _pass_link(self, order) -> None:
+        if self.link is not None:
+            self.link.add(350 + len(getattr(order, "payload", "")))
+            await asyncio.sleep(self.link.measure_s())
+
     async def _lose(self, kind: str, timeout_s: float) -> bool:
         if not self.silent and kind not in self.lost:
             return False
@@ -141,12 +149,18 @@
 class SimulatedLeader:
     """Run an engine and its worker sessions as a leader does, without a store."""
 
-    def __init__(self, workers: int) -> None:
+    def __init__(self, workers: int, *, link_mbps: float = 1000.0) -> None:
         self.clock = TickingClock()
         self.engine = EngineWorld(workers)
         self.core = self.engine.core
         self.calls = FakeWorkerCalls()
         self.timeout_estimator = TimeoutEstimator()
+        self.backlog = LinkBacklog(
+            link_mbps=link_mbps, read_clock=self.clock.read_monotonic
+        )
+        self.start_pacer = StartPacer(
+            self.backlog, read_clock=self.clock.read_monotonic
+        )
         self.may_renew = True
         self.sessions: dict[str, WorkerSession] = {}
         self.order_waits_s: list[float] = []
--- a/src/firladder/_internal/network/traffic.py
+++ b/src/firladder/_internal/network/traffic.py
@@ -1,6 +1,7 @@
 """Count what a process sends and receives, by kind of call or message."""
 
 import dataclasses
+from collections.abc import Callable
 
 from twisted.web.http_headers import Headers
 
@@ -35,8 +36,9 @@
     fills it. Bytes are those of the messages and their headers, without those of TCP.
     """
 
-    def __init__(self) -> None:
-        """Start with nothing counted."""
+    def __init__(self, *, on_sent: Callable[[int], None] = lambda _size: None) -> None:
+        """Start with nothing counted; ``on_sent`` receives the bytes of each write."""
+        self._on_sent = on_sent
         self._usage: dict[str, _Usage] = {}
 
     def _find(self, kind: str) -> _Usage:
@@ -45,6 +47,7 @@
     def record_sent(self, kind: str, size: int) -> None:
         """Add bytes that were handed to a socket."""
         self._find(kind).sent_bytes += size
+        self._on_sent(size)
 
     def record_received(self, kind: str, size: int) -> None:
         """Add bytes that arrived."""
--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -40,6 +40,7 @@
 from .peer_handlers import PeerHandlers, apply_announcement
 from .prefix_watch import PrefixWatch
 from .records import Records
+from .start_pacer import LinkBacklog
 from .term import LOAD_TIMEOUT_S, Term
 from .worker_session import MAX_PARALLEL_STOPS
 
@@ -102,7 +103,8 @@
         self._load_timeout_s = LOAD_TIMEOUT_S
         self._stopping = asyncio.Event()
         self._leader_missing = asyncio.Event()
-        self._traffic = TrafficMeter()
+        self._backlog = LinkBacklog(link_mbps=self.settings.link_mbps)
+        self._traffic = TrafficMeter(on_sent=self._backlog.add)
         self._worker_http = HttpClient(
             max_idle_per_host=MAX_WORKER_CONNECTIONS,
             source_ip=self.settings.ip,
@@ -369,6 +371,7 @@
             timeline=self.timeline,
             on_order=self.metrics.observe_order,
             traffic=self._traffic,
+            backlog=self._backlog,
             load_timeout_s=self._load_timeout_s,
         )
         self.term = term
--- a/src/firladder/_internal/node/orders.py
+++ b/src/firladder/_internal/node/orders.py
@@ -5,8 +5,9 @@
 import enum
 import heapq
 import itertools
+from collections.abc import Callable
 
-from ..engine.state import Placement
+from ..engine.state import Phase, Placement
 
 
 class Rank(enum.IntEnum):
@@ -57,6 +58,7 @@
         """Start empty."""
         self._orders: list[Order] = []
         self._available = asyncio.Event()
+        self._turn: asyncio.Future[None] | None = None
         self._numbers = itertools.count()
         self._unsent: set[Placement] = set()
         self._stopping: set[Placement] = set()
@@ -74,6 +76,11 @@
         self._unsent.add(placement)
         self._put(placement, now, start=True)
 
+    def withdraw_start(self, placement: Placement) -> None:
+        """Let a start that is no longer wanted give up its turn."""
+        if self._turn is not None and self._orders[0].placement is placement:
+            self._turn.cancel()
+
     def add_stop(self, placement: Placement, now: float) -> None:
         """Queue a stop, unless it is queued or being sent already."""
         if placement not in self._stopping:
@@ -84,12 +91,31 @@
         rank, number = choose_rank(placement, start=start), next(self._numbers)
         heapq.heappush(self._orders, Order(rank, number, placement, start, now))
         self._available.set()
+        if rank is not Rank.START and self._turn is not None:
+            self._turn.cancel()
+
+    async def take(
+        self, request_turn: Callable[[Order], asyncio.Future[None]]
+    ) -> Order:
+        """Remove and return the next order; wait for one if there is none.
 
-    async def take(self) -> Order:
-        """Remove and return the next order; wait for one if there is none."""
+        A start of lower work also waits for its turn, which ``request_turn`` returns,
+        unless an order of a higher rank arrives before.
+        """
         await self._available.wait()
+        first = self._orders[0]
+        if first.rank is Rank.START and first.placement.phase is Phase.SENT:
+            await self._await_turn(request_turn(first))
         return self._pop()
 
+    async def _await_turn(self, turn: asyncio.Future[None]) -> None:
+        self._turn = turn
+        try:
+            await asyncio.wait((turn,))
+        finally:
+            self._turn = None
+            turn.cancel()
+
     def take_stops(self, *, limit: int) -> list[Order]:
         """Remove and return the next orders, as far as they are stops."""
         stops: list[Order] = []
--- a/src/firladder/_internal/node/session_context.py
+++ b/src/firladder/_internal/node/session_context.py
@@ -7,6 +7,7 @@
 from ..engine.core import Core
 from ..platform.workers import WorkerCalls
 from ..utils.clocks import Clock
+from .start_pacer import StartPacer
 from .timeout_estimator import TimeoutEstimator
 
 T = TypeVar("T")
@@ -18,6 +19,7 @@
     core: Core
     calls: WorkerCalls
     clock: Clock
+    start_pacer: StartPacer
     timeout_estimator: TimeoutEstimator
 
     @property
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -33,6 +33,7 @@
 from .prefix_watch import PrefixWatch
 from .progress_writer import ProgressWriter
 from .retention import Retention
+from .start_pacer import LinkBacklog, StartPacer
 from .timeout_estimator import TimeoutEstimator
 from .worker_session import WorkerSession
 
@@ -78,7 +79,8 @@
         rng: random.Random,
         timeline: Timeline,
         on_order: ObserveOrder,
-        traffic: TrafficMeter | None = None,
+        traffic: TrafficMeter,
+        backlog: LinkBacklog,
         load_timeout_s: float = LOAD_TIMEOUT_S,
     ) -> None:
         """Prepare to lead under ``leadership``; nothing is read or sent yet."""
@@ -89,7 +91,8 @@
         self.calls = calls
         self.timeout_estimator = TimeoutEstimator()
         self._leader_load = LeaderLoad()
-        self._traffic = traffic or TrafficMeter()
+        self._traffic = traffic
+        self.start_pacer = StartPacer(backlog)
         self.clock = clock
         self.leadership = leadership
         self._store = store
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -56,6 +56,9 @@
 number. With a single attempt, a gang of a dozen seldom starts while one order in five
 is lost."""
 
+START_HEADER_BYTES = 350
+"""Bytes of a start order besides the job's payload."""
+
 MAX_PARALLEL_STOPS = 4
 """Stops sent to one worker at a time, each over a connection of its own."""
 
@@ -102,6 +105,7 @@
             self._orders.add_start(placement, now)
         elif self._orders.has_unsent_start(placement):
             self._core.drop_unsent(placement)
+            self._orders.withdraw_start(placement)
             self._context.request_pass()
         else:
             self._orders.add_stop(placement, now)
@@ -275,7 +279,7 @@
         would take as many round trips as there are tasks.
         """
         while not self._removed:
-            order = await self._orders.take()
+            order = await self._orders.take(self._request_turn)
             if order.start:
                 await self._start(order)
             else:
@@ -286,6 +290,13 @@
             self.wake()
             self._context.request_pass()
 
+    def _request_turn(self, order: Order) -> asyncio.Future[None]:
+        unit = order.placement.unit
+        payload = unit.job.accepted.workload.payload if unit is not None else ""
+        return self._context.start_pacer.request_turn(
+            queued_at=order.queued_at, size=START_HEADER_BYTES + len(payload)
+        )
+
     async def _start(self, order: Order) -> None:
         worker, context, placement = self._worker, self._context, order.placement
         await self._await_reachable()
