--- a/features/engine_policy.feature
+++ b/features/engine_policy.feature
@@ -20,6 +20,17 @@
     When 1.8 seconds have passed
     Then it is planned on workers of both racks
 
+  Scenario: A guaranteed gang is spread while there is time to make room for it
+    Guards against room that a leader behind a full link makes too late for a guarantee.
+    Given an engine with 2 racks of 2 workers
+    And organisation "owner" is guaranteed 16 accelerators
+    And urgent gangs of other organisations hold 1 worker of each rack
+    And lower work holds the other workers
+    When an urgent gang of 2 whole workers of "owner" that wants one rack arrives
+    Then no lower work is stopped
+    When 1.3 seconds have passed
+    Then all lower work is stopped for it
+
   Scenario: A gang larger than any rack is spread at once
     Given an engine with 2 racks of 2 workers
     When a gang of 3 whole workers that wants one rack arrives
--- a/features/steps/engine_policy_steps.py
+++ b/features/steps/engine_policy_steps.py
@@ -62,6 +62,29 @@
         engine.accept(engine.core.take_starts())
 
 
+@given("lower work holds the other workers")
+def hold_others(context):
+    for number in range(2):
+        submit(context, f"lower-{number}", make_step(), priority=2, takes_s=10.0)
+    assert len(start_now(context)) == 2
+
+
+def count_stopped(context):
+    context.engine.plan()
+    placements = [context.engine.find_placement(f"lower-{n}") for n in range(2)]
+    return sum(p.phase is Phase.STOPPING for p in placements)
+
+
+@then("no lower work is stopped")
+def check_none_stopped(context):
+    assert count_stopped(context) == 0
+
+
+@then("all lower work is stopped for it")
+def check_all_stopped(context):
+    assert count_stopped(context) == 2
+
+
 @when("an urgent gang of 2 whole workers that wants one rack arrives")
 def add_gang(context):
     step = make_step(2, 8, gang=True, one_rack=True)
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -61,6 +61,10 @@
 gang may be spread over racks. It then takes several times as long and holds its
 accelerators for all that time."""
 
+SPREAD_MARGIN_S = 1.5
+"""Minimum part of the same time that is left when it may be spread. Room for it must
+still be made, which takes up to a second behind a full link."""
+
 
 class Planner:
     """Plans passes; only reservations for preempting units outlast a pass."""
@@ -304,7 +308,9 @@
             return True
         waited = now - unit.ready_at
         urgent = unit.job.accepted.priority == 0
-        late = waited > self._reclaim_s * SPREAD_AFTER_SHARE
+        late = waited > min(
+            self._reclaim_s * SPREAD_AFTER_SHARE, self._reclaim_s - SPREAD_MARGIN_S
+        )
         return urgent and late and self._is_guaranteed(unit)
 
     def _list_avoided(self, unit: Unit, pool: Sequence[Candidate]) -> set[str]:
