--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -61,6 +61,10 @@
 gang may be spread over racks. It then takes several times as long and holds its
 accelerators for all that time."""
 
+SPREAD_MARGIN_S = 1.5
+"""Minimum part of the same time that is left when it may be spread. Room for it must
+still be made, which takes up to a second behind a full link."""
+
 
 AVOID_MAX_WAIT_S = 2.0
 """Seconds for which a unit waits for other workers than those where it failed or stood
@@ -322,7 +326,9 @@
             return True
         waited = now - unit.ready_at
         urgent = unit.job.accepted.priority == 0
-        late = waited > self._reclaim_s * SPREAD_AFTER_SHARE
+        late = waited > min(
+            self._reclaim_s * SPREAD_AFTER_SHARE, self._reclaim_s - SPREAD_MARGIN_S
+        )
         return urgent and late and self._is_guaranteed(unit)
 
     def _list_avoided(
