--- a/features/steps/node_gang_apart_steps.py
+++ b/features/steps/node_gang_apart_steps.py
@@ -3,13 +3,8 @@
 
 from behave import given, then, when
 
-from features.support.gang_faults import (
-    STORE,
-    Fate,
-    Fault,
-    GangPlay,
-    play_at_random,
-)
+from features.support.gang_faults import GangPlay, play_at_random
+from features.support.gang_store import STORE, Fate, Fault
 
 ORDERS = {
     "the starts of 12 tasks": 12,
--- a/features/steps/node_lost_workers_steps.py
+++ b/features/steps/node_lost_workers_steps.py
@@ -2,7 +2,8 @@
 
 from behave import given, then, when
 
-from features.support.gang_faults import Fate, Fault, GangPlay
+from features.support.gang_faults import GangPlay
+from features.support.gang_store import Fate, Fault
 
 LONG_S = 25.0
 
--- a/features/support/gang_faults.py
+++ b/features/support/gang_faults.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import dataclasses
-import enum
 import itertools
 import json
 import math
@@ -14,15 +13,22 @@
 from collections.abc import Iterable
 
 from features.support.engine_world import QUEUES, make_entry, make_job, make_step
+from features.support.gang_store import (
+    STEP_S,
+    STORE,
+    FakeLeadership,
+    Fate,
+    Fault,
+    FaultyStore,
+    StoreClient,
+)
 from features.support.virtual_time import VirtualLoop
 from firladder._internal.engine.progress import encode_accepted
 from firladder._internal.exceptions import (
     FencedOff,
-    LeaseEnded,
     NotSent,
     OrderRejected,
     SentUnanswered,
-    StoreUncertain,
     WorkerReplaced,
 )
 from firladder._internal.models.order import EndedTask, RunningTask, WorkerReport
@@ -32,56 +38,15 @@
 from firladder._internal.node.term import Term
 from firladder._internal.platform.discovery import WORKER_PREFIX
 from firladder._internal.platform.settings import NodeSettings
-from firladder._internal.platform.store import (
-    Change,
-    Changes,
-    Conflict,
-    Item,
-    Listing,
-)
 from firladder._internal.utils.clocks import LogicalClock
 from firladder._internal.utils.events import Event, Timeline
 from standins.platform_workers import GANG_START_TIMEOUT_S
 
 NO_ANSWER = SentUnanswered(reason="no answer")
-NO_STORE = StoreUncertain(reason="the store does not answer")
-STEP_S = 0.02
 MAX_LEASE_S = 10.0
 HEARTBEAT_S = 1.0
 ENTRY_TTL_S = 3 * HEARTBEAT_S
 ELECTION_S = 0.15
-STORE_S = 0.004
-STORE = -1
-"""The store in the place of a machine's number in a fault."""
-
-
-class Fate(enum.Enum):
-    """What happens to a call; a late copy is carried out after ``Fault.late_s``."""
-
-    DELIVERED = "delivered"
-    NOT_SENT = "not sent"
-    LOST = "lost"
-    UNANSWERED = "unanswered"
-    LATE = "late"
-    DOUBLED = "doubled"
-
-
-@dataclasses.dataclass(frozen=True)
-class Fault:
-    """A fate of some calls to one machine, or to all if ``machine`` is None.
-
-    Only call ``number`` of that kind is affected, counted from 1, or each call between
-    ``since`` and ``until`` with the probability ``share``.
-    """
-
-    kind: str
-    machine: int | None
-    fate: Fate
-    number: int | None = None
-    late_s: float = 0.0
-    since: float = 0.0
-    until: float = math.inf
-    share: float = 1.0
 
 
 @dataclasses.dataclass
@@ -140,142 +105,6 @@
         self._begin_life()
 
 
-class FaultyStore:
-    """The platform's store; ``outages`` are spans in which no call is answered."""
-
-    def __init__(self) -> None:
-        self.items: dict[str, Item] = {}
-        self.changes: list[Change] = []
-        self.revision = 1
-        self.outages: list[tuple[float, float]] = []
-        self.changed = asyncio.Event()
-        self.reachable = True
-        self.listing_s = 0.0
-
-    def put(self, key: str, value: bytes) -> int:
-        self.revision += 1
-        self.items[key] = Item(key, value, self.revision)
-        self._record(Change(key, value, self.revision))
-        return self.revision
-
-    def remove(self, key: str) -> None:
-        if self.items.pop(key, None) is not None:
-            self.revision += 1
-            self._record(Change(key, None, self.revision))
-
-    def _record(self, change: Change) -> None:
-        self.changes.append(change)
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-    def is_down(self) -> bool:
-        now = asyncio.get_running_loop().time()
-        return any(since <= now < until for since, until in self.outages)
-
-
-class StoreClient:
-    """One node's view of the store; ``cut`` is set while the node cannot reach it."""
-
-    def __init__(self, store: FaultyStore, play: "GangPlay") -> None:
-        self.store = store
-        self.play = play
-        self.cut = False
-
-    async def _reach(self, timeout_s: float) -> bool:
-        if self.cut or self.store.is_down():
-            await asyncio.sleep(timeout_s)
-            return False
-        await asyncio.sleep(STORE_S)
-        return True
-
-    async def read_range(self, prefix: str):
-        if not await self._reach(0.8):
-            return NO_STORE
-        await asyncio.sleep(self.store.listing_s)
-        items = tuple(i for k, i in self.store.items.items() if k.startswith(prefix))
-        return Listing(items, self.store.revision)
-
-    async def watch(self, prefix, *, after, wait_s, max_bytes=0):
-        loop = asyncio.get_running_loop()
-        until = loop.time() + wait_s
-        if not await self._reach(wait_s + 0.6):
-            return NO_STORE
-        while True:
-            found = tuple(
-                c
-                for c in self.store.changes
-                if c.revision > after and c.key.startswith(prefix)
-            )
-            left_s = until - loop.time()
-            if found or left_s <= STEP_S / 1000:
-                break
-            waiting = asyncio.ensure_future(self.store.changed.wait())
-            await asyncio.wait({waiting}, timeout=left_s)
-            waiting.cancel()
-        if self.cut or self.store.is_down():
-            await asyncio.sleep(0.6)
-            return NO_STORE
-        return Changes(found, max(after, self.store.revision))
-
-    async def commit(self, *, expected, writes=(), remove=(), timeout_s=0.8):
-        if not await self._reach(timeout_s):
-            return NO_STORE
-        fault = self.play.choose_fault("write", STORE)
-        if fault.fate in (Fate.LOST, Fate.NOT_SENT):
-            await asyncio.sleep(timeout_s)
-            return NO_STORE
-        if fault.fate is Fate.LATE:
-            self.play.spawn(self._apply_late(fault.late_s, expected, writes, remove))
-            await asyncio.sleep(timeout_s)
-            return NO_STORE
-        outcome = self._apply(expected, writes, remove)
-        if fault.fate is Fate.UNANSWERED:
-            await asyncio.sleep(timeout_s)
-            return NO_STORE
-        return outcome
-
-    async def _apply_late(self, late_s, expected, writes, remove):
-        await asyncio.sleep(late_s)
-        self._apply(expected, writes, remove)
-
-    def _apply(self, expected, writes, remove):
-        store = self.store
-        held = {k: store.items.get(k, Item(k, b"", 0)) for k, _ in expected}
-        if any(held[key].revision != revision for key, revision in expected):
-            return Conflict(tuple(held.values()))
-        revision = store.revision + 1
-        for write in writes:
-            revision = store.put(write.key, write.value)
-        for key in remove:
-            store.remove(key)
-        return revision
-
-
-class FakeLeadership:
-    """A leadership that lasts until its key is another's; renewed while reachable."""
-
-    def __init__(self, client: StoreClient, token: int) -> None:
-        self.client = client
-        self.token = token
-        self.renewed_at = asyncio.get_running_loop().time()
-
-    @property
-    def lease_valid_until(self) -> float:
-        return self.renewed_at + LEADER_LEASE_S
-
-    async def renew(self) -> LeaseEnded:
-        store = self.client.store
-        while True:
-            if not (self.client.cut or store.is_down()):
-                if store.items[LEADER].revision != self.token:
-                    return LeaseEnded(reason="the key is another's")
-                self.renewed_at = asyncio.get_running_loop().time()
-            await asyncio.sleep(0.45)
-
-    async def resign(self) -> None:
-        """Leave the key; the play elects the successor."""
-
-
 class LoopClock:
     """Reads the virtual loop, 1 us later each time, so that readings are unique."""
 
@@ -454,7 +283,10 @@
     def choose_fault(self, kind: str, machine: int) -> Fault:
         count = self.calls[kind, machine] = self.calls.get((kind, machine), 0) + 1
         for fault in self.faults:
-            if fault.kind not in (kind, "any") or fault.machine not in (None, machine):
+            if fault.kind not in (kind, "any"):
+                continue
+            everywhere = fault.machine is None and machine != STORE
+            if not everywhere and fault.machine != machine:
                 continue
             if fault.number is not None:
                 if fault.number == count:
@@ -596,7 +428,7 @@
         """Begin a term under a new token."""
         self._succeeding = False
         token = self.store.put(LEADER, b"")
-        client = StoreClient(self.store, self)
+        client = StoreClient(self.store, self.choose_fault)
         settings = NodeSettings(
             "vm", "10.0.0.1", "d", "", "", "", 1, (), "", MAX_LEASE_S, 120.0, 2.7,
             0.3, 2.0, 1000.0,
