--- a/src/firladder/_internal/engine/health.py
+++ b/src/firladder/_internal/engine/health.py
@@ -54,8 +54,14 @@
 
 
 def is_stalled(placement: Placement, now: float, *, longer_than: float) -> bool:
-    """Return whether an active task made no progress for that many seconds."""
-    return bool(placement.progressed_at) and now - placement.progressed_at > longer_than
+    """Return whether an active task made no progress for that many seconds.
+
+    A gang makes none before its last member has started.
+    """
+    if not placement.progressed_at:
+        return False
+    whole_at = placement.unit.active_since if placement.unit is not None else 0.0
+    return now - max(placement.progressed_at, whole_at) > longer_than
 
 
 def waits_for_members(unit: Unit, placement: Placement) -> bool:
