--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -41,7 +41,6 @@
 from .peer_handlers import PeerHandlers, apply_announcement
 from .prefix_watch import PrefixWatch
 from .records import Records
-from .start_pacer import LinkBacklog
 from .term import LOAD_TIMEOUT_S, Term
 from .worker_session import MAX_ORDERS_IN_FLIGHT
 
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -224,10 +224,12 @@
     # -- loading and watching the store --------------------------------------------
 
     async def _load(self) -> bool:
-        submissions = await self._read_prefix(SUBMISSIONS)
-        progress = await self._read_prefix(PROGRESS)
-        workers = await self._read_prefix(WORKER_PREFIX)
-        evacuations = await self._read_prefix(EVACUATION_PREFIX)
+        submissions, progress, workers, evacuations = await asyncio.gather(
+            self._read_prefix(SUBMISSIONS),
+            self._read_prefix(PROGRESS),
+            self._read_prefix(WORKER_PREFIX),
+            self._read_prefix(EVACUATION_PREFIX),
+        )
         if submissions is None or progress is None or workers is None:
             return False
         if evacuations is None:
