--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -16,7 +16,7 @@
     WorkerRefused,
     WorkerReplaced,
 )
-from ..models.order import WorkerReport
+from ..models.order import StopOrder, WorkerReport
 from ..utils.logs import PRIORITY_ATTRIBUTE
 from .order_window import Turn
 from .orders import Order, OrderQueue, Rank
@@ -59,6 +59,10 @@
 number. With a single attempt, a gang of a dozen seldom starts while one order in five
 is lost."""
 
+MAX_STOP_ATTEMPTS = 3
+"""Attempts in a row to stop a member of a gang that has not started whole. Other stops
+are sent once, and repeated by the engine."""
+
 ORDER_HEADER_BYTES = 350
 """Bytes of an order besides the job's payload."""
 
@@ -431,6 +435,20 @@
             return
         if placement.stop_answered:
             return
+        # Members of a gang that may wait for this one end by themselves within seconds.
+        is_urgent = placement.unit is not None and placement.unit.starts
+        for _ in range(MAX_STOP_ATTEMPTS if is_urgent else 1):
+            answer = await self._try_stop(order, stop)
+            if not isinstance(answer, SentUnanswered) or self._removed:
+                break
+        if isinstance(answer, FencedOff):
+            context.step_down("a worker knows a higher fencing token")
+            return
+        now = context.clock.read_monotonic()
+        self._core.handle_stop_answer(placement, answer, now)
+
+    async def _try_stop(self, order: Order, stop: StopOrder) -> float | OrderFailure:
+        context = self._context
         sent_at = context.clock.read_monotonic()
         timeout_s = context.timeout_estimator.timeout_s
         call = context.calls.stop(
@@ -439,10 +457,7 @@
         answer = await self._await_answer(call, timeout_s)
         now = context.clock.read_monotonic()
         self._record_answer(order, answer, sent_at=sent_at, now=now)
-        if isinstance(answer, FencedOff):
-            context.step_down("a worker knows a higher fencing token")
-            return
-        self._core.handle_stop_answer(placement, answer, now)
+        return answer
 
     def _record_answer(
         self, order: Order, answer: float | OrderFailure, *, sent_at: float, now: float
