--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -1,6 +1,7 @@
 """Manage one worker: poll its state, renew its lease and send its orders."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Coroutine
 from typing import Any, TypeVar
@@ -144,6 +145,7 @@
         worker = self._worker
         return (
             not worker.claimed
+            or not worker.reachable
             or bool(worker.unacknowledged_ends)
             or any(p.phase is not Phase.PLANNED for p in worker.placements.values())
         )
@@ -157,6 +159,7 @@
                 await self._wake.wait()
                 continue
             await self._await_durable_ends()
+            await self._await_renewal()
             if self._removed:
                 return
             if await self._poll():
@@ -181,6 +184,19 @@
             # must be renewed, and more runs may have ended.
             return
 
+    async def _await_renewal(self) -> None:
+        """Wait until a lease may be sent to a worker that was reached again.
+
+        Without it the next poll would wait for an end, and the lease might expire.
+        """
+        worker, now = self._worker, self._context.clock.read_monotonic()
+        if not worker.reachable or worker.may_send_lease:
+            return
+        if leases.needs_renewal(worker, now=now, lease_s=self._core.lease_s):
+            self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._wake.wait(), DURABLE_WAIT_S)
+
     async def _poll(self, *, may_wait: bool = True) -> bool:
         worker, context = self._worker, self._context
         lease_s = leases.choose_lease_s(worker, lease_s=self._core.lease_s)
