--- a/features/node_gang_apart.feature
+++ b/features/node_gang_apart.feature
@@ -34,6 +34,19 @@
       | 0.9    |
       | 1.2    |
 
+  Scenario Outline: A gang begins with many members on each worker
+    Guards against a gang that is aborted for ever as its own starts wait for each other.
+    Given a leader of 2 workers, all of whose answers take <answer> s
+    When a gang of 16 is submitted to it, 8 members for each worker
+    Then the gang is done within 20 s
+    And no member of the gang ends alone
+
+    Examples:
+      | answer |
+      | 0.2    |
+      | 0.3    |
+      | 0.4    |
+
   Scenario: A fault of any one call delays the others of a gang by little
     Guards against a call whose loss, delay or repetition leaves a member waiting.
     When each of the first 2 calls of each kind to each worker of a gang of 2 has a fault
--- a/features/steps/node_gang_apart_steps.py
+++ b/features/steps/node_gang_apart_steps.py
@@ -88,6 +88,15 @@
     context.play = GangPlay(2).play(script, seconds=23.2)
 
 
+@when("a gang of 16 is submitted to it, 8 members for each worker")
+def submit_wide(context):
+    async def script(play):
+        await settle(play, context.answer_s)
+        play.submit("gang", count=16, need=1)
+
+    context.play = GangPlay(2).play(script, seconds=23.2)
+
+
 def describe(play):
     return [
         (m.task.index, m.run, m.machine.number, m.how, round(m.started_at, 2))
