--- a/src/firladder/_internal/node/orders.py
+++ b/src/firladder/_internal/node/orders.py
@@ -91,10 +91,18 @@
             self._added.clear()
             await self._added.wait()
 
-    @property
-    def next_is_stop(self) -> bool:
-        """Return whether there is a next order, and it is a stop."""
-        return bool(self._orders) and not self._orders[0].start
+    def next_joins(self, order: Order) -> bool:
+        """Return whether the next order need not wait for the answer to ``order``.
+
+        True for two stops, and for two starts of one unit.
+        """
+        if not self._orders:
+            return False
+        following = self._orders[0]
+        if order.start != following.start:
+            return False
+        unit = order.placement.unit
+        return not order.start or unit is following.placement.unit is not None
 
     def find_next(self) -> Order:
         """Return the next order, which stays queued."""
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -60,7 +60,8 @@
 is lost."""
 
 MAX_ORDERS_IN_FLIGHT = 4
-"""Maximum orders of one worker whose answers are awaited: stops, and overdue starts."""
+"""Maximum orders of one worker whose answers are awaited: stops, starts of one gang,
+and overdue starts."""
 
 LATE_ORDER_WAIT_S = 1.0
 """Seconds in the queue from which an order is logged, whatever its answer."""
@@ -282,7 +283,8 @@
         One start is in flight at a time, which limits the load of a slow link or
         processor. An overdue one no longer holds up the others: while orders are lost,
         starts and stops would wait in the queue for longer than a gang's members wait
-        for each other. Stops do not wait for each other, as urgent work waits for them.
+        for each other. Stops do not wait for each other, as urgent work waits for them,
+        and neither do the starts of one gang, whose members wait for each other.
         """
         in_flight: set[asyncio.Task[None]] = set()
         while not self._removed:
@@ -293,7 +295,7 @@
             in_flight.add(task)
             task.add_done_callback(in_flight.discard)
             settled = self._spawn(self._end_turn(task))
-            if order.start or not self._orders.next_is_stop:
+            if not self._orders.next_joins(order):
                 await asyncio.wait((settled,))
             while len(in_flight) >= MAX_ORDERS_IN_FLIGHT:
                 await asyncio.wait(in_flight, return_when=asyncio.FIRST_COMPLETED)
