--- a/features/node_orders.feature
+++ b/features/node_orders.feature
@@ -103,3 +103,14 @@
     When all of them are stopped
     Then the last stop is sent within 0.25 s of the first
     And at most 4 stops await their answer at a time
+
+  Scenario Outline: Work for other workers begins while many are silent
+    Guards against stops to silent workers that keep all starts from being sent.
+    Given a leader of 90 workers that run 8 tasks each, whose answers take <answer> s
+    When all of them are stopped, and 88 of the workers do not answer
+    Then a gang of 2 that is submitted 1 s later is active within 1.5 s, in its first run
+
+    Examples:
+      | answer |
+      | 0.01   |
+      | 0.26   |
--- a/features/steps/node_order_steps.py
+++ b/features/steps/node_order_steps.py
@@ -383,3 +383,41 @@
         for at in context.stops
     ]
     assert max(open_counts) <= limit, context.stops
+
+
+@given(
+    "a leader of {workers:d} workers that run 8 tasks each, whose answers take"
+    " {seconds:f} s"
+)
+def fill_workers(context, workers, seconds):
+    delay_answers(context, seconds, workers=workers)
+    context.leader.engine.submit(make_job("job", make_step(8 * workers, 1)))
+
+
+@when("all of them are stopped, and {silent:d} of the workers do not answer")
+def stop_beside_silent(context, silent):
+    context.silent = {f"w{number}" for number in range(silent)}
+
+
+@then(
+    "a gang of 2 that is submitted 1 s later is active within {seconds:f} s, in its"
+    " first run"
+)
+def check_gang_beside_silent(context, seconds):
+    leader = context.leader
+
+    async def submit():
+        leading = asyncio.create_task(leader.lead(9.5 + seconds))
+        await asyncio.sleep(8.0)
+        leader.calls.silent_workers = context.silent
+        leader.core.cancel_job("job")
+        leader.request_pass()
+        await asyncio.sleep(1.0)
+        leader.engine.submit(make_job("gang", make_step(2, 8, gang=True)))
+        leader.request_pass()
+        await asyncio.sleep(seconds)
+        unit = leader.engine.find_unit("gang")
+        assert unit.all_active and unit.run == 1, (unit.run, unit.placements)
+        await leading
+
+    run_in_virtual_time(submit())
--- a/features/support/fake_workers.py
+++ b/features/support/fake_workers.py
@@ -17,6 +17,7 @@
 from firladder._internal.node.worker_session import WorkerSession
 
 NO_ANSWER = SentUnanswered(reason="no answer")
+SHORTEST_WAIT_S = 1e-6
 
 
 @dataclasses.dataclass
@@ -33,14 +34,15 @@
     """Simulate the calls to workers, which answer after ``answer_s``.
 
     Each kind in ``lost`` makes the next call of that kind time out; a lost order is
-    never executed. With ``silent``, all calls time out. Workers in ``refusing``
-    accept no connection.
+    never executed. With ``silent``, all calls time out, and so do those to a worker in
+    ``silent_workers``. Workers in ``refusing`` accept no connection.
     """
 
     def __init__(self, answer_s: float = 0.01) -> None:
         self.answer_s = answer_s
         self.lost: list[str] = []
         self.silent = False
+        self.silent_workers: set[str] = set()
         self.refusing: set[str] = set()
         self.running: dict = {}
         self.ended: dict[str, list[EndedTask]] = {}
@@ -66,7 +68,7 @@
         if worker_id in self.refusing:
             await asyncio.sleep(timeout_s)
             return NotSent(reason="timed out before sending")
-        if await self._lose("poll", timeout_s):
+        if await self._lose("poll", worker_id, timeout_s):
             return NO_ANSWER
         began_s = self._now()
         await asyncio.sleep(self.answer_s / 2)
@@ -90,7 +92,10 @@
         self, worker_id: str, acknowledged: int, wait_s: float
     ) -> None:
         until_s = self._now() + wait_s
-        while self._now() < until_s and not self._list_ends(worker_id, acknowledged):
+        # A wait that is too short for the clock to advance would never end.
+        while until_s - self._now() > SHORTEST_WAIT_S and not self._list_ends(
+            worker_id, acknowledged
+        ):
             self._end_available.clear()
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(
@@ -112,7 +117,7 @@
             self._in_flight -= 1
 
     async def _answer(self, kind, order, timeout_s):
-        if await self._lose(kind, timeout_s):
+        if await self._lose(kind, order.worker_id, timeout_s):
             return NO_ANSWER
         await asyncio.sleep(self.answer_s / 2)
         if kind == "stop":
@@ -126,10 +131,11 @@
         await asyncio.sleep(self.answer_s / 2)
         return self._now() if self.answer_s <= timeout_s else NO_ANSWER
 
-    async def _lose(self, kind: str, timeout_s: float) -> bool:
-        if not self.silent and kind not in self.lost:
+    async def _lose(self, kind: str, worker_id: str, timeout_s: float) -> bool:
+        silent = self.silent or worker_id in self.silent_workers
+        if not silent and kind not in self.lost:
             return False
-        if not self.silent:
+        if not silent:
             self.lost.remove(kind)
         await asyncio.sleep(timeout_s)
         return True
