--- a/src/firladder/_internal/node/order_window.py
+++ b/src/firladder/_internal/node/order_window.py
@@ -4,13 +4,17 @@
 import heapq
 import itertools
 
-from .orders import Order
+from .orders import Order, Rank
 
 MAX_IN_FLIGHT = 48
 """Maximum orders in flight over all workers. With one for each of some two hundred
 workers, a slow leader handles the answers of none within the timeout, and sends most
 orders twice."""
 
+SILENT_SHARE = 0.5
+"""Maximum share of the turns for stops to silent workers: each such turn ends only when
+its answer is overdue."""
+
 Turn = asyncio.Future[None]
 """Done when an order may be sent."""
 
@@ -25,6 +29,7 @@
     def __init__(self, size: int = MAX_IN_FLIGHT) -> None:
         """Allow ``size`` orders in flight."""
         self._available = size
+        self._reserved = int((1 - SILENT_SHARE) * size)
         self._waiting: list[tuple[Order, int, Turn]] = []
         self._entries = itertools.count()
         self.numbers = itertools.count()
@@ -47,7 +52,12 @@
 
     def _grant(self) -> None:
         while self._available > 0 and self._waiting:
-            _, _, turn = heapq.heappop(self._waiting)
+            order, _, turn = self._waiting[0]
+            silent = order.rank is Rank.SILENT_STOP
+            if not turn.done() and silent and self._available <= self._reserved:
+                # All that wait behind it are of this rank, too.
+                return
+            heapq.heappop(self._waiting)
             if not turn.done():
                 self._available -= 1
                 turn.set_result(None)
--- a/src/firladder/_internal/node/orders.py
+++ b/src/firladder/_internal/node/orders.py
@@ -15,6 +15,7 @@
     URGENT_START = 0
     STOP = 1
     START = 2
+    SILENT_STOP = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -1,6 +1,7 @@
 """Manage one worker: poll its state, renew its lease and send its orders."""
 
 import asyncio
+import dataclasses
 import logging
 from collections.abc import Coroutine
 from typing import Any, TypeVar
@@ -19,7 +20,7 @@
 from ..models.order import WorkerReport
 from ..utils.logs import PRIORITY_ATTRIBUTE
 from .order_window import Turn
-from .orders import Order, OrderQueue
+from .orders import Order, OrderQueue, Rank
 from .session_context import SessionContext
 from .timeout_estimator import MAX_TIMEOUT_S
 
@@ -110,9 +111,8 @@
             self._context.request_pass()
         else:
             self._orders.add_stop(placement, now)
-        if self._turn is not None and self._orders:
-            # The new order may be of a higher rank than the one that waits.
-            self._context.order_window.promote(self._turn, self._orders.find_next())
+        # The new order may be of a higher rank than the one that waits.
+        self._promote_turn()
 
     @property
     def queued_orders(self) -> int:
@@ -207,7 +207,10 @@
                     worker, grant, sent_at=sent_at, now=now, lease_s=lease_s
                 )
             worker.drop_acknowledged_ends(acknowledged)
+            was_reachable = worker.reachable
             self._core.handle_report(worker, answer, sent_at=sent_at, now=now)
+            if not was_reachable:
+                self._promote_turn()
             context.request_pass()
             return True
         if grant and isinstance(answer, NotSent | WorkerRefused | OrderRejected):
@@ -305,10 +308,25 @@
 
     async def _await_turn(self) -> None:
         """Wait until the next order may be sent; it may be another one by then."""
-        self._turn = self._context.order_window.request(self._orders.find_next())
+        self._turn = self._context.order_window.request(self._find_next())
         await self._turn
         self._turn = None
 
+    def _promote_turn(self) -> None:
+        if self._turn is not None and self._orders:
+            self._context.order_window.promote(self._turn, self._find_next())
+
+    def _find_next(self) -> Order:
+        """Return the next order, ranked for its turn.
+
+        Stops to a silent worker are repeated until its lease has ended. If they went
+        before starts, those of a few dozen silent workers would take all turns.
+        """
+        order = self._orders.find_next()
+        if order.start or self._worker.reachable:
+            return order
+        return dataclasses.replace(order, rank=Rank.SILENT_STOP)
+
     async def _end_turn(self, task: asyncio.Task[None]) -> None:
         """End the turn of an order that was answered or is overdue."""
         overdue_s = self._context.timeout_estimator.overdue_s
