--- a/features/engine_gang_starts.feature
+++ b/features/engine_gang_starts.feature
@@ -46,3 +46,10 @@
       | percent | stopped                |
       | 0       | stopped all members    |
       | 10      | not stopped any member |
+
+  Scenario: The abort of a gang is logged once
+    Guards against logs in which one aborted run looks like many.
+    Given a gang of 3 whose members wait 3 s, two of which were started 1 s apart
+    When the start of the third is still queued 1.6 s after the first start
+    And the gang is checked again before its stops are answered
+    Then one abort of it is logged
--- a/features/steps/engine_gang_start_steps.py
+++ b/features/steps/engine_gang_start_steps.py
@@ -73,6 +73,8 @@
     engine = context.engine = EngineWorld(3)
     engine.submit(make_job("gang", make_step(3, gang=True)))
     context.members = engine.start_all()
+    context.notes = []
+    engine.core.note = lambda what, **_: context.notes.append(what)
     context.first_start_at = engine.now
     for member in context.members[:2]:
         engine.core.record_start_sent(member, engine.now)
@@ -141,3 +143,16 @@
     context.engine.now += seconds
     context.engine.core.abort_late_gangs(context.engine.now)
     assert context.engine.core.take_stops(context.engine.now) == []
+
+
+@when("the gang is checked again before its stops are answered")
+def check_gang_again(context):
+    engine = context.engine
+    engine.now += 0.25
+    engine.core.abort_late_gangs(engine.now)
+    engine.core.abort_late_gang(context.members[2].unit, engine.now)
+
+
+@then("one abort of it is logged")
+def check_logged_once(context):
+    assert context.notes.count("gang aborted") == 1, context.notes
