--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -153,14 +153,18 @@
     def starts(self) -> bool:
         """Return whether some members of a gang's run may wait for others to start.
 
-        A member that reports progress proves that all of them have started.
+        A member that reports progress proves that all of them have started. A run of
+        which a member is being stopped is aborted already.
         """
         return (
             self.state is UnitState.BUSY
             and len(self.indices) > 1
             and self.first_start_at is not None
             and not self.all_active
-            and not any(p.percent > 0 for p in self.placements.values())
+            and not any(
+                p.percent > 0 or p.phase is Phase.STOPPING
+                for p in self.placements.values()
+            )
         )
 
     def measure_start_spread(self) -> float | None:
