--- a/features/node_orders.feature
+++ b/features/node_orders.feature
@@ -81,7 +81,7 @@
 
   Scenario: Only as many orders are in flight as a slow leader can handle
     Guards against a leader none of whose orders is answered in time.
-    Given a leader of 120 workers, all of whose answers take 0.3 s
+    Given a leader of 120 workers that each answer after 0.3 s
     When 12 gangs of 10 are submitted, one task for each worker
     Then at most 48 orders were in flight, and all gangs are active in run 1
 
@@ -128,3 +128,14 @@
     Given a leader of 41 workers behind a link of 2 Mbit/s
     When 40 tasks of 3000 bytes are submitted, and cancelled for one more 0.1 s later
     Then that one is active 0.15 s after that
+
+  Scenario Outline: Work for other workers begins while many are silent
+    Guards against stops to silent workers that keep all starts from being sent.
+    Given a leader of 90 workers that run 8 tasks each, whose answers take <answer> s
+    When all of them are stopped, and 88 of the workers do not answer
+    Then a gang of 2 that is submitted 1 s later is active within 1.5 s, in its first run
+
+    Examples:
+      | answer |
+      | 0.01   |
+      | 0.26   |
--- a/features/steps/node_order_steps.py
+++ b/features/steps/node_order_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import types
 
 from behave import given, then, when
 
@@ -273,7 +274,7 @@
     assert context.leader.timeout_estimator.overdue_s >= seconds
 
 
-@given("a leader of {workers:d} workers, all of whose answers take {seconds:f} s")
+@given("a leader of {workers:d} workers that each answer after {seconds:f} s")
 def delay_answers_of_many(context, workers, seconds):
     delay_answers(context, seconds, workers=workers)
 
@@ -301,7 +302,8 @@
     context.granted = []
 
 
-def make_order(window, rank, placement=None):
+def make_order(window, rank):
+    placement = types.SimpleNamespace(unit=None)
     return Order(rank, next(window.numbers), placement, rank is not Rank.STOP, 0.0)
 
 
@@ -462,8 +464,9 @@
     async def wait():
         window = OrderWindow(backlog=context.link, clock=context.clock)
         turns = {}
+        placement = types.SimpleNamespace(unit=None)
         for queued_at in (3, 1, 2):
-            order = Order(Rank.START, queued_at, None, True, float(queued_at))
+            order = Order(Rank.START, queued_at, placement, True, float(queued_at))
             turns[queued_at] = window.request(order, size=6000)
             turns[queued_at].add_done_callback(
                 lambda turn, queued_at=queued_at: context.left.append(
@@ -506,3 +509,41 @@
 def check_one_more(context, seconds):
     active_at = context.leader.engine.find_unit("one more").active_since
     assert 0 < active_at <= context.submitted_s + 0.1 + seconds, active_at
+
+
+@given(
+    "a leader of {workers:d} workers that run 8 tasks each, whose answers take"
+    " {seconds:f} s"
+)
+def fill_workers(context, workers, seconds):
+    delay_answers(context, seconds, workers=workers)
+    context.leader.engine.submit(make_job("job", make_step(8 * workers, 1)))
+
+
+@when("all of them are stopped, and {silent:d} of the workers do not answer")
+def stop_beside_silent(context, silent):
+    context.silent = {f"w{number}" for number in range(silent)}
+
+
+@then(
+    "a gang of 2 that is submitted 1 s later is active within {seconds:f} s, in its"
+    " first run"
+)
+def check_gang_beside_silent(context, seconds):
+    leader = context.leader
+
+    async def submit():
+        leading = asyncio.create_task(leader.lead(9.5 + seconds))
+        await asyncio.sleep(8.0)
+        leader.calls.silent_workers = context.silent
+        leader.core.cancel_job("job")
+        leader.request_pass()
+        await asyncio.sleep(1.0)
+        leader.engine.submit(make_job("gang", make_step(2, 8, gang=True)))
+        leader.request_pass()
+        await asyncio.sleep(seconds)
+        unit = leader.engine.find_unit("gang")
+        assert unit.all_active and unit.run == 1, (unit.run, unit.placements)
+        await leading
+
+    run_in_virtual_time(submit())
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -32,6 +32,10 @@
 a gang must have started. The rest is left for the stops: a member that is not stopped
 in time has held its worker for nothing."""
 
+SUCCESSOR_WINDOW_SHARE = 0.15
+"""The same for a gang that a successor finds without progress: its members have waited
+since before the former leader was gone."""
+
 DEFAULT_MEMBER_WAIT_S = 3.0
 """Seconds that a gang's member waits for the others, unless the platform says more."""
 
@@ -59,6 +63,7 @@
         """
         self.lease_s = lease_s
         self._start_window_s = START_WINDOW_SHARE * member_wait_s
+        self._successor_window_s = SUCCESSOR_WINDOW_SHARE * member_wait_s
         self.jobs: dict[str, Job] = {}
         self.workers: dict[str, Worker] = {}
         self.configuration = QueueConfiguration(0)
@@ -178,6 +183,11 @@
         if unit is not None and unit.first_start_at is None:
             unit.first_start_at = now
 
+    def record_recovered_member(self, placement: Placement, now: float) -> None:
+        """Record that a worker lists a member that a former leader started."""
+        elapsed_s = self._start_window_s - self._successor_window_s
+        self.record_start_sent(placement, now - elapsed_s)
+
     def abort_late_gang(self, unit: Unit, now: float) -> bool:
         """Abort a gang whose members have not all started in time; return whether.
 
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -60,6 +60,8 @@
     ``reported`` says that the worker has listed the run as running, so it will list
     its end too. ``may_start_late`` says that one copy of its start order got no
     answer, so the answer to another copy cannot prove that the task will not start.
+
+    ``first_percent`` is what a task that resumed from a checkpoint showed at first.
     """
 
     unit: "Unit | None"
@@ -71,6 +73,7 @@
     last_answer_at: float = math.inf
     active_at: float = 0.0
     percent: float = 0.0
+    first_percent: float | None = None
     progressed_at: float = 0.0
     ran_from_start: bool = False
     measures_speed: bool = False
@@ -84,6 +87,11 @@
         """Return whether the task is known to have started and is not being stopped."""
         return self.phase is Phase.ACTIVE
 
+    @property
+    def shows_progress(self) -> bool:
+        """Return whether the task has made progress in this run."""
+        return self.percent > (self.first_percent or 0.0)
+
     @property
     def key(self) -> tuple[TaskId, int]:
         """Return the task and its run number."""
@@ -150,17 +158,26 @@
         return 0 < len(self.placements) < len(self.indices)
 
     @property
-    def starts(self) -> bool:
-        """Return whether some members of a gang's run may wait for others to start.
+    def may_have_waiting_members(self) -> bool:
+        """Return whether members of a gang's run may wait for others to start.
 
-        A member that reports progress proves that all of them have started.
+        They may do so until their stops are carried out, if the run was aborted. A
+        member that reports progress proves that all have started.
         """
         return (
             self.state is UnitState.BUSY
             and len(self.indices) > 1
             and self.first_start_at is not None
+            and not any(p.shows_progress for p in self.placements.values())
+        )
+
+    @property
+    def starts(self) -> bool:
+        """Return whether a gang's run has begun, is not whole, and is not aborted."""
+        return (
+            self.may_have_waiting_members
             and not self.all_active
-            and not any(p.percent > 0 for p in self.placements.values())
+            and not any(p.phase is Phase.STOPPING for p in self.placements.values())
         )
 
     def measure_start_spread(self) -> float | None:
--- a/src/firladder/_internal/node/order_window.py
+++ b/src/firladder/_internal/node/order_window.py
@@ -28,6 +28,10 @@
 MIN_PAUSE_S = 0.001
 """Minimum seconds between two checks, so that a rounding error does not spin."""
 
+SILENT_SHARE = 0.5
+"""Maximum share of the turns for stops to silent workers: each such turn ends only when
+its answer is overdue."""
+
 Turn = asyncio.Future[None]
 """Done when an order may be sent."""
 
@@ -48,8 +52,9 @@
         """Allow ``size`` orders in flight; pace starts of lower work by ``backlog``."""
         self._backlog = backlog
         self._clock = clock
-        self._available = size
+        self._size = self._available = size
         self._waiting: list[tuple[Order, int, Turn, int]] = []
+        self._reserved = int((1 - SILENT_SHARE) * size)
         self._entries = itertools.count()
         self._paced_until = 0.0
         self._timer: asyncio.TimerHandle | None = None
@@ -82,11 +87,17 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        while self._available > 0 and self._waiting:
+        while self._waiting:
             order, _, turn, size = self._waiting[0]
             if turn.done():
                 heapq.heappop(self._waiting)
                 continue
+            if self._available <= 0 and not self._starts_wide_gang(order):
+                return
+            silent = order.rank is Rank.SILENT_STOP
+            if silent and self._available <= self._reserved:
+                # All that wait behind it are of this rank, too.
+                return
             now = self._clock.read_monotonic()
             pause_s = self._measure_pause(order, now)
             if pause_s > 0:
@@ -100,6 +111,14 @@
             )
             turn.set_result(None)
 
+    def _starts_wide_gang(self, order: Order) -> bool:
+        """Return whether an order starts a member of a gang wider than the window.
+
+        Such a gang could not start whole within the time that its members wait.
+        """
+        unit = order.placement.unit if order.start else None
+        return unit is not None and len(unit.indices) > self._size
+
     def _measure_pause(self, order: Order, now: float) -> float:
         if order.rank is not Rank.START:
             return 0.0
--- a/src/firladder/_internal/node/orders.py
+++ b/src/firladder/_internal/node/orders.py
@@ -15,6 +15,7 @@
     URGENT_START = 0
     STOP = 1
     START = 2
+    SILENT_STOP = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -99,10 +100,18 @@
         order = self._orders[0]
         return order.start and order.placement.phase is not Phase.SENT
 
-    @property
-    def next_is_stop(self) -> bool:
-        """Return whether there is a next order, and it is a stop."""
-        return bool(self._orders) and not self._orders[0].start
+    def next_joins(self, order: Order) -> bool:
+        """Return whether the next order need not wait for the answer to ``order``.
+
+        True for two stops, and for two starts of one unit.
+        """
+        if not self._orders:
+            return False
+        following = self._orders[0]
+        if order.start != following.start:
+            return False
+        unit = order.placement.unit
+        return not order.start or unit is following.placement.unit is not None
 
     def find_next(self) -> Order:
         """Return the next order, which stays queued."""
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
 from collections.abc import Coroutine
 from typing import Any, TypeVar
@@ -68,7 +69,8 @@
 """Bytes of an order besides the job's payload."""
 
 MAX_ORDERS_IN_FLIGHT = 4
-"""Maximum orders of one worker whose answers are awaited: stops, and overdue starts."""
+"""Maximum orders of one worker whose answers are awaited: stops, starts of one gang,
+and overdue starts."""
 
 LATE_ORDER_WAIT_S = 1.0
 """Seconds in the queue from which an order is logged, whatever its answer."""
@@ -127,9 +129,8 @@
             self._context.request_pass()
         else:
             self._orders.add_stop(placement, now)
-        if self._turn is not None:
-            # The new order may be of a higher rank than the one that waits.
-            self._promote_turn(self._turn)
+        # The new order may be of a higher rank than the one that waits.
+        self._promote_turn()
 
     @property
     def queued_orders(self) -> int:
@@ -239,7 +240,10 @@
                     worker, grant, sent_at=sent_at, now=now, lease_s=lease_s
                 )
             worker.drop_acknowledged_ends(acknowledged)
+            was_reachable = worker.reachable
             self._core.handle_report(worker, answer, sent_at=sent_at, now=now)
+            if not was_reachable:
+                self._promote_turn()
             context.request_pass()
             return True
         if grant and isinstance(answer, NotSent | WorkerRefused | OrderRejected):
@@ -315,7 +319,8 @@
         One start is in flight at a time, which limits the load of a slow link or
         processor. An overdue one no longer holds up the others: while orders are lost,
         starts and stops would wait in the queue for longer than a gang's members wait
-        for each other. Stops do not wait for each other, as urgent work waits for them.
+        for each other. Stops do not wait for each other, as urgent work waits for them,
+        and neither do the starts of one gang, whose members wait for each other.
         """
         in_flight: set[asyncio.Task[None]] = set()
         while not self._removed:
@@ -326,7 +331,7 @@
             in_flight.add(task)
             task.add_done_callback(in_flight.discard)
             settled = self._spawn(self._end_turn(task))
-            if order.start or not self._orders.next_is_stop:
+            if not self._orders.next_joins(order):
                 await asyncio.wait((settled,))
             while len(in_flight) >= MAX_ORDERS_IN_FLIGHT:
                 await asyncio.wait(in_flight, return_when=asyncio.FIRST_COMPLETED)
@@ -336,16 +341,29 @@
 
     async def _await_turn(self) -> None:
         """Wait until the next order may be sent; it may be another one by then."""
-        window, order = self._context.order_window, self._orders.find_next()
+        window, order = self._context.order_window, self._find_next()
         self._turn = window.request(order, size=estimate_size(order))
         if self._orders.next_is_unwanted:
             window.skip(self._turn)
         await self._turn
         self._turn = None
 
-    def _promote_turn(self, turn: Turn) -> None:
+    def _promote_turn(self) -> None:
+        if self._turn is not None and self._orders:
+            order = self._find_next()
+            size = estimate_size(order)
+            self._context.order_window.promote(self._turn, order, size=size)
+
+    def _find_next(self) -> Order:
+        """Return the next order, ranked for its turn.
+
+        Stops to a silent worker are repeated until its lease has ended. If they went
+        before starts, those of a few dozen silent workers would take all turns.
+        """
         order = self._orders.find_next()
-        self._context.order_window.promote(turn, order, size=estimate_size(order))
+        if order.start or self._worker.reachable:
+            return order
+        return dataclasses.replace(order, rank=Rank.SILENT_STOP)
 
     async def _end_turn(self, task: asyncio.Task[None]) -> None:
         """End the turn of an order that was answered or is overdue."""
@@ -451,8 +469,8 @@
             return
         if placement.stop_answered:
             return
-        # Members of a gang that may wait for this one end by themselves within seconds.
-        is_urgent = placement.unit is not None and placement.unit.starts
+        unit = placement.unit
+        is_urgent = unit is not None and unit.may_have_waiting_members
         for _ in range(MAX_STOP_ATTEMPTS if is_urgent else 1):
             answer = await self._try_stop(order, stop)
             if not isinstance(answer, SentUnanswered) or self._removed:
