--- a/features/support/fake_workers.py
+++ b/features/support/fake_workers.py
@@ -90,9 +90,10 @@
         while self._now() < until_s and not self._list_ends(worker_id, acknowledged):
             self._end_available.clear()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(
-                    self._end_available.wait(), until_s - self._now()
-                )
+                # An absolute time: adding a rest of 1e-16 s to the clock changes
+                # nothing, and the loop would never end.
+                async with asyncio.timeout_at(until_s):
+                    await self._end_available.wait()
 
     def _record_end(self, order) -> None:
         ends = self.ended.setdefault(order.worker_id, [])
