--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -372,6 +372,11 @@
         await session.watch()
         if self._sessions.get(worker.worker_id) is session:
             del self._sessions[worker.worker_id]
+        # Its entry may have been removed and written again at once, while this session
+        # was still open.
+        registered = self.core.workers.get(worker.worker_id)
+        if registered is not None:
+            self._open_session(registered)
 
     # -- planning and orders -------------------------------------------------------
 
