--- a/features/node_orders.feature
+++ b/features/node_orders.feature
@@ -54,3 +54,9 @@
     Given a leader of 2 workers, one of which accepts no connection
     When a job of 8 small tasks is submitted
     Then all of them are active within 1 s
+
+  Scenario: The members of a gang that share a worker start together on a slow leader
+    Guards against members that end alone because each start waits for the last answer.
+    Given a leader of one worker, all of whose answers take 0.6 s
+    When a gang of 8 small tasks is submitted
+    Then it is active, and the starts of that run are sent at most 2 s apart
--- a/features/steps/node_order_steps.py
+++ b/features/steps/node_order_steps.py
@@ -210,3 +210,18 @@
     run_in_virtual_time(context.leader.lead(float(seconds)))
     units = context.leader.core.jobs["small"].units
     assert all(unit.all_active for unit in units), units
+
+
+@when("a gang of {count:d} small tasks is submitted")
+def submit_small_gang(context, count):
+    context.leader.engine.submit(make_job("gang", make_step(count, 1, gang=True)))
+    run_in_virtual_time(context.leader.lead(12.0))
+
+
+@then("it is active, and the starts of that run are sent at most {seconds:d} s apart")
+def check_spread(context, seconds):
+    unit = context.leader.engine.find_unit("gang")
+    assert unit.all_active, unit
+    starts = [s for s in context.leader.calls.sent if s.kind == "start"]
+    times = [s.at for s in starts if s.run == unit.run]
+    assert max(times) - min(times) <= seconds, starts
--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -63,8 +63,9 @@
 SLOW_LOAD_PAUSE_S = 1.0
 """Seconds until the next campaign after a term whose records were not read in time."""
 
-MAX_WORKER_CONNECTIONS = 4
-"""Maximum connections to a worker: a waiting poll, an immediate poll, and orders."""
+MAX_WORKER_CONNECTIONS = 6
+"""Maximum idle connections to a worker: a waiting poll, an immediate poll, and the
+starts that are sent at once."""
 
 MAX_STORE_CONNECTIONS = 16
 """Maximum connections to the store: some open watches, and calls made for callers."""
--- a/src/firladder/_internal/node/orders.py
+++ b/src/firladder/_internal/node/orders.py
@@ -3,10 +3,15 @@
 import asyncio
 import dataclasses
 import enum
+import heapq
 import itertools
 
 from ..engine.state import Placement
 
+MAX_STARTS_AT_ONCE = 4
+"""Maximum starts of a gang's members that are sent to a worker at the same time; each
+takes a connection."""
+
 
 class Rank(enum.IntEnum):
     """Rank of a queued order; lower ranks are sent first."""
@@ -54,14 +59,15 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self._orders: asyncio.PriorityQueue[Order] = asyncio.PriorityQueue()
+        self._orders: list[Order] = []
+        self._available = asyncio.Event()
         self._numbers = itertools.count()
         self._unsent: set[Placement] = set()
         self._stopping: set[Placement] = set()
 
     def __len__(self) -> int:
         """Return the number of queued orders."""
-        return self._orders.qsize()
+        return len(self._orders)
 
     def has_unsent_start(self, placement: Placement) -> bool:
         """Return whether the start of a placement is queued but not sent yet."""
@@ -80,11 +86,29 @@
 
     def _put(self, placement: Placement, now: float, *, start: bool) -> None:
         rank, number = choose_rank(placement, start=start), next(self._numbers)
-        self._orders.put_nowait(Order(rank, number, placement, start, now))
-
-    async def take(self) -> Order:
-        """Remove and return the next order; wait for one if there is none."""
-        return await self._orders.get()
+        heapq.heappush(self._orders, Order(rank, number, placement, start, now))
+        self._available.set()
+
+    async def take(self) -> list[Order]:
+        """Remove and return the next order; wait for one if there is none.
+
+        The starts of a gang's members are returned together, up to
+        ``MAX_STARTS_AT_ONCE``: the first member gives up if the last one starts
+        seconds later.
+        """
+        while not self._orders:
+            self._available.clear()
+            await self._available.wait()
+        orders = [heapq.heappop(self._orders)]
+        while len(orders) < MAX_STARTS_AT_ONCE and self._next_joins(orders[0]):
+            orders.append(heapq.heappop(self._orders))
+        return orders
+
+    def _next_joins(self, order: Order) -> bool:
+        if not (order.start and self._orders and self._orders[0].start):
+            return False
+        unit = order.placement.unit
+        return unit is not None and self._orders[0].placement.unit is unit
 
     def mark_start_sent(self, order: Order) -> None:
         """Record that a start is being sent or dropped."""
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -265,19 +265,25 @@
         self._context.request_pass()
 
     async def send_orders(self) -> None:
-        """Send the queued orders one at a time until the worker is removed."""
+        """Send the queued orders until the worker is removed.
+
+        One order is sent at a time, or the starts of several members of a gang.
+        """
         while not self._removed:
-            order = await self._orders.take()
-            if order.start:
-                await self._start(order)
-            else:
-                await self._stop(order)
-                self._orders.mark_stop_answered(order)
+            orders = await self._orders.take()
+            await asyncio.gather(*map(self._send, orders))
             if not self._orders or not self._worker.reachable:
                 await self._poll_without_wait()
             self.wake()
             self._context.request_pass()
 
+    async def _send(self, order: Order) -> None:
+        if order.start:
+            await self._start(order)
+            return
+        await self._stop(order)
+        self._orders.mark_stop_answered(order)
+
     async def _start(self, order: Order) -> None:
         worker, context, placement = self._worker, self._context, order.placement
         await self._await_reachable()
