--- a/features/node_orders.feature
+++ b/features/node_orders.feature
@@ -60,3 +60,9 @@
     Given a leader of one worker, all of whose answers take 0.6 s
     When a gang of 8 small tasks is submitted
     Then it is active, and the starts of that run are sent at most 2 s apart
+
+  Scenario: Passes that take long leave half of the time to orders and answers
+    Guards against a slow leader that plans all the time while its orders are late.
+    Given a leader each of whose passes takes 0.2 s
+    When a pass is requested all the time for 10 s
+    Then the passes take at most 5.5 s of them
--- a/features/steps/node_order_steps.py
+++ b/features/steps/node_order_steps.py
@@ -4,6 +4,7 @@
 
 from features.support.engine_world import make_job, make_step
 from features.support.fake_workers import SimulatedLeader
+from features.support.loaded_term import LoadedTerm
 from features.support.virtual_time import run_in_virtual_time
 
 
@@ -225,3 +226,31 @@
     starts = [s for s in context.leader.calls.sent if s.kind == "start"]
     times = [s.at for s in starts if s.run == unit.run]
     assert max(times) - min(times) <= seconds, starts
+
+
+@given("a leader each of whose passes takes {seconds:f} s")
+def slow_passes(context, seconds):
+    context.pass_s = seconds
+
+
+@when("a pass is requested all the time for {seconds:d} s")
+def request_passes(context, seconds):
+    async def lead():
+        term = LoadedTerm()
+        loop = asyncio.get_running_loop()
+        term._planner.run_pass = lambda **_times: loop.advance(context.pass_s)
+
+        async def request():
+            while loop.time() < seconds:
+                term.request_pass()
+                await asyncio.sleep(0.01)
+
+        await term.lead(request())
+        context.planned_s = term.passes * context.pass_s
+
+    run_in_virtual_time(lead())
+
+
+@then("the passes take at most {seconds:f} s of them")
+def check_pass_time(context, seconds):
+    assert 0 < context.planned_s <= seconds, context.planned_s
--- a/features/support/virtual_time.py
+++ b/features/support/virtual_time.py
@@ -17,6 +17,10 @@
     def time(self):
         return self._now
 
+    def advance(self, seconds):
+        """Let time pass during a callback, like a computation that takes long."""
+        self._now += seconds
+
     def _run_once(self):
         if not self._ready and self._scheduled:
             self._now = max(self._now, self._scheduled[0]._when)
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -46,8 +46,9 @@
 """Seconds between two checks for expired runs, stalled runs and repeated stops."""
 
 PASS_DELAY_S = 0.004
-"""Seconds for which events are collected before a planning pass; the tasks of a gang
-end within a few milliseconds of each other."""
+"""Minimum seconds for which events are collected before a planning pass; the tasks of a
+gang end within a few milliseconds of each other. A pass that takes longer is preceded
+by a delay of its own duration, so that orders and answers get half of the processor."""
 
 LOAD_TIMEOUT_S = 4.0
 """Timeout for reading the records, in seconds. A slower leader resigns in favour of a
@@ -107,6 +108,7 @@
         self._entry_revisions: dict[str, int] = {}
         self.ready = False
         self.passes = 0
+        self._last_pass_s = 0.0
         self._progress_writer = ProgressWriter(
             core=self.core,
             store=store,
@@ -383,7 +385,7 @@
     async def _plan_forever(self) -> None:
         while True:
             await self._pass_requested.wait()
-            await asyncio.sleep(PASS_DELAY_S)
+            await asyncio.sleep(max(PASS_DELAY_S, self._last_pass_s))
             self._pass_requested.clear()
             self._plan_once()
 
@@ -391,7 +393,8 @@
         now = self.clock.read_monotonic()
         self.passes += 1
         self._planner.run_pass(now=now, wall=self.clock.read_wall())
-        self._leader_load.record_pass(self.clock.read_monotonic() - now)
+        self._last_pass_s = self.clock.read_monotonic() - now
+        self._leader_load.record_pass(self._last_pass_s)
         self._progress_writer.wake()
         self._dispatch_orders(now)
 
@@ -421,7 +424,7 @@
             self._planner.move_off_draining(now)
             for session in list(self._sessions.values()):
                 session.wake()
-            self._plan_once()
+            self.request_pass()
 
     def _report_load(self, now: float, *, lag_s: float) -> None:
         self._leader_load.record_lag(lag_s)
