--- a/features/engine_gang_starts.feature
+++ b/features/engine_gang_starts.feature
@@ -53,3 +53,15 @@
     When the start of the third is still queued 1.6 s after the first start
     And the gang is checked again before its stops are answered
     Then one abort of it is logged
+
+  Scenario: Saved progress of a resumed gang does not prove that all have started
+    Guards against members that wait in vain because they show what was saved before.
+    Given a gang of 3 whose members wait 3 s, two of which were started 1 s apart
+    When it has resumed from a checkpoint, and a poll shows the first at 40 percent
+    Then all three members are ordered to stop 1.6 s after the first start
+
+  Scenario: A successor does not abort a resumed gang that is at work
+    Guards against losing the work of gangs whose workers a slow successor polls late.
+    Given a gang of 3 whose members wait 3 s, two of which were started 1 s apart
+    When it has resumed from a checkpoint, and a successor finds the two at 40 percent
+    Then the successor has not stopped any member 1.6 s later
--- a/features/steps/engine_gang_start_steps.py
+++ b/features/steps/engine_gang_start_steps.py
@@ -156,3 +156,34 @@
 @then("one abort of it is logged")
 def check_logged_once(context):
     assert context.notes.count("gang aborted") == 1, context.notes
+
+
+@when(
+    "it has resumed from a checkpoint, and a poll shows the first at {percent:d} percent"
+)
+def report_saved_progress(context, percent):
+    engine, first = context.engine, context.members[0]
+    first.unit.checkpoint = "saved"
+    worker = engine.core.workers[first.worker_id]
+    engine.report(worker, [RunningTask(first.task, first.run, "", percent)])
+
+
+@then("all three members are ordered to stop {seconds:f} s after the first start")
+def check_aborted_at(context, seconds):
+    engine = context.engine
+    engine.now = context.first_start_at + seconds
+    engine.core.abort_late_gangs(engine.now)
+    check_stops(context)
+
+
+@when(
+    "it has resumed from a checkpoint, and a successor finds the two at {percent:d}"
+    " percent"
+)
+def succeed_resumed(context, percent):
+    context.members[0].unit.checkpoint = "saved"
+    context.engine.core.jobs["gang"].mark_changed()
+    context.engine.core.dirty["gang"] = context.engine.core.jobs["gang"]
+    context.engine.make_durable()
+    succeed_beside_silence(context, percent)
+    assert context.engine.find_unit("gang").checkpoint == "saved"
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -129,6 +129,8 @@
             # look new, and be preempted first although it may be almost done.
             worked_s = self.estimate_run(unit) * percent / DONE_PERCENT
             self.record_recovered_member(placement, now)
+            # Its gang has most likely been at work: any progress proves that.
+            placement.first_percent = 0.0
             self._activate(placement, now, worked_s=worked_s)
         if placement.first_percent is None and unit is not None and unit.checkpoint:
             placement.first_percent = percent
