--- a/features/steps/engine_gang_start_steps.py
+++ b/features/steps/engine_gang_start_steps.py
@@ -159,7 +159,8 @@
 
 
 @when(
-    "it has resumed from a checkpoint, and a poll shows the first at {percent:d} percent"
+    "it has resumed from a checkpoint, and a poll shows the first at {percent:d}"
+    " percent"
 )
 def report_saved_progress(context, percent):
     engine, first = context.engine, context.members[0]
--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -37,12 +37,12 @@
 from .link_backlog import LinkBacklog
 from .metrics import NodeMetrics
 from .operations import METRICS, READY
+from .order_sender import MAX_ORDERS_IN_FLIGHT
 from .partition import PartitionDetector
 from .peer_handlers import PeerHandlers, apply_announcement
 from .prefix_watch import PrefixWatch
 from .records import Records
 from .term import LOAD_TIMEOUT_S, Term
-from .worker_session import MAX_ORDERS_IN_FLIGHT
 
 logger = logging.getLogger(__name__)
 
