--- a/features/run_all.py
+++ b/features/run_all.py
@@ -65,7 +65,7 @@
         for element in feature.get("elements", []):
             if element["type"] != "background":
                 passed = element.get("status") == "passed"
-                yield ScenarioResult(element["name"], passed, output)
+                yield ScenarioResult(element["name"].strip(), passed, output)
 
 
 def read_known_red() -> set[str]:
