--- a/features/node_gang_apart.feature
+++ b/features/node_gang_apart.feature
@@ -47,6 +47,17 @@
       | 0.3    |
       | 0.4    |
 
+  Scenario: A gang of more members than orders may be in flight begins
+    Guards against a gang that is aborted for ever as its own starts wait for a turn.
+    Given a leader of one rack of 100 workers, whose answers take 0.9 s
+    When a gang of 100 is submitted to it, one member for each worker
+    Then the gang is done within 20 s
+
+  Scenario: A successor of a killed leader does not leave a member waiting
+    Guards against a member that has waited under the former leader for half of its time.
+    When the leader is killed while a start is lost, to a worker that is then silent
+    Then no member of the gang ends alone
+
   Scenario: A fault of any one call delays the others of a gang by little
     Guards against a call whose loss, delay or repetition leaves a member waiting.
     When each of the first 2 calls of each kind to each worker of a gang of 2 has a fault
--- a/features/steps/node_gang_apart_steps.py
+++ b/features/steps/node_gang_apart_steps.py
@@ -97,6 +97,36 @@
     context.play = GangPlay(2).play(script, seconds=23.2)
 
 
+@given("a leader of one rack of {workers:d} workers, whose answers take {answer:f} s")
+def choose_rack(context, workers, answer):
+    context.workers, context.answer_s = workers, answer
+
+
+@when("a gang of {count:d} is submitted to it, one member for each worker")
+def submit_to_all(context, count):
+    async def script(play):
+        await settle(play, context.answer_s)
+        # The first polls of so many workers take longer than the others.
+        await asyncio.sleep(3.0)
+        play.submit("gang", count=count)
+
+    play = GangPlay(context.workers, per_rack=count)
+    context.play = play.play(script, seconds=26.2)
+
+
+@when("the leader is killed while a start is lost, to a worker that is then silent")
+def kill_beside_silence(context):
+    faults = [Fault("start", 1, Fate.LOST, number=n + 1) for n in range(START_ATTEMPTS)]
+
+    async def script(play):
+        play.submit("gang", count=2)
+        await asyncio.sleep(0.6)
+        play.faults.append(Fault("any", 1, Fate.LOST, until=play.now + 4.0))
+        await play.succeed("killed")
+
+    context.play = GangPlay(2, faults=faults).play(script, seconds=20.0)
+
+
 def describe(play):
     return [
         (m.task.index, m.run, m.machine.number, m.how, round(m.started_at, 2))
