--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -172,7 +172,7 @@
         )
 
     @property
-    def starts(self) -> bool:
+    def is_starting(self) -> bool:
         """Return whether a gang's run has begun, is not whole, and is not aborted."""
         return (
             self.may_have_waiting_members
