--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -189,10 +189,10 @@
         self.record_start_sent(placement, now - elapsed_s)
 
     def abort_late_gang(self, unit: Unit, now: float) -> bool:
-        """Abort a gang whose members have not all started in time; return whether it was.
+        """Abort a gang whose members have not all started in time.
 
-        The members at work would wait until they end by themselves, and what kept the
-        other starts back may keep back the stops as well.
+        Return whether it was aborted. Its active members would wait until they end by
+        themselves, and what kept the other starts back may keep back the stops as well.
         """
         if not unit.is_starting or unit.first_start_at is None:
             return False
