Tell in the log how a worker went, and what ran there

The line 'worker lost' named the worker and a count. It could not tell a crash from a worker that had drained or had been behind a cut, nor which tasks ran there, since when: the hypotheses on the crashing task differ in just that.

Change: calls that the peer refuses or closes have failure types of their own (to callers they are shown as before), an unreachable worker keeps when it first closed a connection, and 'worker lost' says all that. The same line names up to eight tasks. No decision depends on it yet.

--- a/features/network_answers.feature
+++ b/features/network_answers.feature
@@ -60,3 +60,16 @@
     When it is called with 0.3 s to be sent and 1.4 s for the response
     Then the call ends "not_sent" within 0.6 s
     And nothing arrives when the server accepts connections again
+
+  Scenario Outline: A process that has ended is told from a path that is cut
+    Guards against taking a crashed worker for one that is only out of reach.
+    Given a server that <behaves>
+    When it is called with 0.3 s for the response
+    Then the call ends "<kind>" within 0.6 s, closed by the server: <closed>
+
+    Examples:
+      | behaves                           | kind            | closed |
+      | has ended                         | not_sent        | yes    |
+      | ends while it handles a call      | sent_unanswered | yes    |
+      | resets while it handles a call    | sent_unanswered | yes    |
+      | does not answer                   | sent_unanswered | no     |
--- a/features/steps/engine_runs_steps.py
+++ b/features/steps/engine_runs_steps.py
@@ -184,7 +184,9 @@
 @when("another incarnation answers for its worker")
 def replace_worker(context):
     placement = context.started[0]
-    context.engine.core.lose_worker(placement.worker_id, "replaced")
+    context.engine.core.lose_worker(
+        placement.worker_id, "replaced", now=context.engine.now
+    )
 
 
 @when('one member of "{name}" is rejected and the other accepted')
--- a/features/steps/network_answers_steps.py
+++ b/features/steps/network_answers_steps.py
@@ -3,11 +3,14 @@
 import socket
 import time
 
-from behave import given, then, when
+import parse
+from behave import given, register_type, then, when
 
 from firladder._internal.etcd.store import Snapshot, StoreClient
 from firladder._internal.exceptions import (
     AnswerTooLarge,
+    ConnectionClosed,
+    ConnectionRefused,
     NotSent,
     SentUnanswered,
     StoreUncertain,
@@ -24,6 +27,14 @@
 CHUNK = b"x" * 1000
 
 
+@parse.with_pattern(r"has ended|ends while it .*|resets while it .*|does not answer")
+def parse_ending(text):
+    return text
+
+
+register_type(Ending=parse_ending)
+
+
 def play(context, work):
     """Run a coroutine on the event loop that twisted's reactor uses."""
     from twisted.internet import reactor
@@ -99,6 +110,38 @@
     assert context.spent_s <= seconds, context.spent_s
 
 
+class EndingServer(ChunkServer):
+    """Ends as ``behaviour`` says while it handles a call."""
+
+    def __init__(self, behaviour):
+        super().__init__(1, 1.0)
+        self.behaviour = behaviour
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        if self.behaviour == "does not answer":
+            await reader.read()
+        elif self.behaviour.startswith("resets"):
+            writer.transport.abort()
+        else:
+            writer.close()
+
+
+@given("a server that {behaviour:Ending}")
+def start_ending_server(context, behaviour):
+    context.server = EndingServer(behaviour)
+    play(context, context.server.start())
+    if behaviour == "has ended":
+        context.server.server.close()
+
+
+@then('the call ends "{kind}" within {seconds:f} s, closed by the server: {closed}')
+def check_closed_by_server(context, kind, seconds, closed):
+    check_kind(context, kind, seconds)
+    by_server = isinstance(context.result, ConnectionClosed | ConnectionRefused)
+    assert by_server is (closed == "yes"), context.result
+
+
 @then("the server's connection is closed within {seconds:f} s")
 def check_closed(context, seconds):
     play(context, asyncio.wait_for(context.server.closed.wait(), seconds))
--- a/features/support/engine_chaos.py
+++ b/features/support/engine_chaos.py
@@ -227,7 +227,7 @@
         world = self.world
         sim = self.sims.get(worker.worker_id)
         if sim is None:
-            world.core.lose_worker(worker.worker_id, "replaced")
+            world.core.lose_worker(worker.worker_id, "replaced", now=world.now)
             return
         if worker.worker_id in self.partitioned:
             world.core.mark_unreachable(worker, world.now)
--- a/src/firladder/_internal/engine/answers.py
+++ b/src/firladder/_internal/engine/answers.py
@@ -3,6 +3,8 @@
 import math
 
 from ..exceptions import (
+    ConnectionClosed,
+    ConnectionRefused,
     FencedOff,
     NotSent,
     OrderFailure,
@@ -22,6 +24,13 @@
 class Answers(Runs):
     """Updates placements and workers from the answers to start and stop orders."""
 
+    def record_no_answer(
+        self, worker: Worker, failure: OrderFailure, now: float
+    ) -> None:
+        """Mark a worker unreachable after a call failed."""
+        closed = isinstance(failure, ConnectionClosed | ConnectionRefused)
+        self.mark_unreachable(worker, now, closed=closed)
+
     def handle_start_answer(
         self, placement: Placement, answer: float | OrderFailure, now: float
     ) -> None:
@@ -37,10 +46,10 @@
                 self._activate(placement, now)
             return
         if isinstance(answer, WorkerReplaced):
-            self.lose_worker(worker.worker_id, answer.reason)
+            self.lose_worker(worker.worker_id, answer.reason, now=now)
             return
         if isinstance(answer, SentUnanswered | FencedOff):
-            self.mark_unreachable(worker, now)
+            self.record_no_answer(worker, answer, now)
             if placement.phase is Phase.SENT:
                 self._abort_run_of(placement)
             return
@@ -61,7 +70,7 @@
         if isinstance(answer, OrderRejected) and answer.rejection == "no_room":
             worker.full_until = now + FULL_WORKER_BACKOFF_S
         elif isinstance(answer, NotSent):
-            self.mark_unreachable(worker, now)
+            self.record_no_answer(worker, answer, now)
         elif isinstance(answer, WorkerRefused) and unit is not None:
             worker.full_until = now + FULL_WORKER_BACKOFF_S
             record_failure(worker, unit.job.accepted.job_id, now)
@@ -77,9 +86,9 @@
             placement.stop_answered = True
             placement.last_answer_at = now
         elif isinstance(answer, WorkerReplaced):
-            self.lose_worker(worker.worker_id, answer.reason)
+            self.lose_worker(worker.worker_id, answer.reason, now=now)
         elif isinstance(answer, OrderRejected):
             placement.stop_answered = True
             placement.last_answer_at = now
         else:
-            self.mark_unreachable(worker, now)
+            self.record_no_answer(worker, answer, now)
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -31,7 +31,9 @@
         for other in list(self.workers.values()):
             same_address = other.entry.address == entry.address
             if same_address and other is not worker and not other.registered:
-                self.lose_worker(other.worker_id, "address taken by another worker")
+                self.lose_worker(
+                    other.worker_id, "address taken by another worker", now=now
+                )
         return worker
 
     def unregister_worker(self, worker_id: str) -> None:
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -261,7 +261,8 @@
     ``open_grants`` has the same for each unanswered lease, by its number.
     ``renewed_until`` is when the newest answered lease expires, without the margin for
     clock drift and delays. ``clock_offset_s`` is the worker's clock minus the
-    leader's.
+    leader's. ``closed_at`` is when an unreachable worker first closed or refused a
+    connection; None if it only fell silent, as behind a partition.
     """
 
     entry: WorkerEntry
@@ -269,6 +270,7 @@
     claimed: bool = False
     reachable: bool = True
     unreachable_at: float = 0.0
+    closed_at: float | None = None
     barrier: list[tuple["Job", int]] = dataclasses.field(default_factory=list)
     granted_until: float = 0.0
     renewed_until: float = 0.0
--- a/src/firladder/_internal/evaluation/day_driver.py
+++ b/src/firladder/_internal/evaluation/day_driver.py
@@ -199,7 +199,7 @@
         def lose() -> None:
             for placement in self._running.pop(worker_id, {}).values():
                 self._record_lost_work(placement)
-            self.core.lose_worker(worker_id, "gone")
+            self.core.lose_worker(worker_id, "gone", now=self.now)
             self._schedule_pass()
 
         return lose
--- a/src/firladder/_internal/exceptions.py
+++ b/src/firladder/_internal/exceptions.py
@@ -168,12 +168,28 @@
     http_status: ClassVar[int] = 503
 
 
+class ConnectionRefused(NotSent, frozen=True, kw_only=True, tag="not_sent"):
+    """The peer's VM answers, but no process there accepts connections.
+
+    Messages to callers say ``not_sent``.
+    """
+
+
 class SentUnanswered(Failure, frozen=True, kw_only=True, tag="sent_unanswered"):
     """Bytes of the request were sent, but no complete matching answer came back."""
 
     http_status: ClassVar[int] = 502
 
 
+class ConnectionClosed(
+    SentUnanswered, frozen=True, kw_only=True, tag="sent_unanswered"
+):
+    """The peer closed or reset the connection instead of answering the request.
+
+    Messages to callers say ``sent_unanswered``.
+    """
+
+
 class AnswerTooLarge(SentUnanswered, frozen=True, kw_only=True, tag="answer_too_large"):
     """The answer has more bytes than its caller accepts."""
 
--- a/src/firladder/_internal/network/http_client.py
+++ b/src/firladder/_internal/network/http_client.py
@@ -23,7 +23,13 @@
 from twisted.web.iweb import UNKNOWN_LENGTH, IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
-from ..exceptions import AnswerTooLarge, NotSent, SentUnanswered
+from ..exceptions import (
+    AnswerTooLarge,
+    ConnectionClosed,
+    ConnectionRefused,
+    NotSent,
+    SentUnanswered,
+)
 from .traffic import OTHER_KIND, TrafficMeter, measure_headers
 
 CONNECT_TIMEOUT_S = 1.0
@@ -333,6 +339,8 @@
                     return NotSent(reason="timed out before sending")
             response = await asyncio.wait_for(future, deadline - loop.time())
             answered = True
+        except net_error.ConnectionRefusedError as error:
+            return ConnectionRefused(reason=f"cannot connect: {error}")
         except _CONNECT_ERRORS as error:
             return NotSent(reason=f"cannot connect: {error}")
         except TimeoutError:
@@ -340,7 +348,8 @@
                 return NotSent(reason="timed out before sending")
             return SentUnanswered(reason="timed out before the response")
         except Exception as error:
-            return SentUnanswered(reason=f"no response: {_describe(error)}")
+            failure = ConnectionClosed if _is_close(error) else SentUnanswered
+            return failure(reason=f"no response: {_describe(error)}")
         finally:
             # No effect on a completed call. A call whose caller was cancelled would
             # otherwise continue without a timeout.
@@ -358,6 +367,14 @@
         await deferred.asFuture(asyncio.get_running_loop())
 
 
+def _is_close(error: Exception) -> bool:
+    """Return whether the peer closed or reset the connection."""
+    reasons = getattr(error, "reasons", None) or ()
+    return any(
+        r.check(net_error.ConnectionDone, net_error.ConnectionLost) for r in reasons
+    )
+
+
 def _describe(error: Exception) -> str:
     reasons = getattr(error, "reasons", None)
     if reasons:
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -236,12 +236,12 @@
         if isinstance(answer, FencedOff):
             self._context.step_down("a worker knows a higher fencing token")
         elif isinstance(answer, WorkerReplaced):
-            self._core.lose_worker(worker.worker_id, answer.reason)
+            self._core.lose_worker(worker.worker_id, answer.reason, now=now)
         else:
             if worker.reachable:
                 logger.info(
                     "worker unreachable",
                     extra={"worker": worker.worker_id, "reason": answer.reason},
                 )
-            self._core.mark_unreachable(worker, now)
+            self._core.record_no_answer(worker, answer, now)
         self._context.request_pass()
