--- a/features/support/gang_faults.py
+++ b/features/support/gang_faults.py
@@ -25,6 +25,8 @@
 from features.support.virtual_time import VirtualLoop
 from firladder._internal.engine.progress import encode_accepted
 from firladder._internal.exceptions import (
+    ConnectionClosed,
+    ConnectionRefused,
     FencedOff,
     NotSent,
     OrderRejected,
@@ -45,6 +47,8 @@
 from standins.platform_workers import GANG_START_TIMEOUT_S
 
 NO_ANSWER = SentUnanswered(reason="no answer")
+CLOSED = ConnectionClosed(reason="closed")
+REFUSED = ConnectionRefused(reason="refused")
 MAX_LEASE_S = 10.0
 HEARTBEAT_S = 1.0
 ENTRY_TTL_S = 3 * HEARTBEAT_S
@@ -162,12 +166,12 @@
         machine = play.find_machine(worker_id)
         fault = play.choose_fault(kind, machine.number)
         play.sent.append((play.now, kind, machine.number, fault.fate.value))
-        if machine.down:
-            await asyncio.sleep(self.answer_s)
-            return NotSent(reason="cannot connect")
         if fault.fate is Fate.NOT_SENT:
             await asyncio.sleep(send_within_s)
             return NotSent(reason="timed out before sending")
+        if machine.down and fault.fate is not Fate.LOST:
+            await asyncio.sleep(self.answer_s)
+            return REFUSED
         late = fault.fate is Fate.LATE
         until = play.now + timeout_s
         if fault.fate is Fate.LOST:
@@ -192,7 +196,7 @@
     async def _deliver(self, machine, worker_id, carry_out, after_s):
         await asyncio.sleep(after_s + self.answer_s / 2)
         if machine.down:
-            return NO_ANSWER
+            return REFUSED
         if machine.worker_id != worker_id:
             return WorkerReplaced(reason="another incarnation")
         if self.token < machine.token:
@@ -230,7 +234,7 @@
             await asyncio.wait({waiting}, timeout=until - play.now)
             waiting.cancel()
         if machine.worker_id != life or machine.down:
-            return NO_ANSWER
+            return CLOSED
         rows = tuple(
             RunningTask(m.task, m.run, "", play.measure_percent(m))
             for m in machine.running.values()
@@ -263,6 +267,10 @@
         self.members: list[Member] = []
         self.jobs: dict[str, AcceptedJob] = {}
         self.done_at: dict[str, float] = {}
+        self.crash_after_s: dict[str, float] = {}
+        """For jobs that crash the worker: how long after the start of a task."""
+        self.down_s = 3.3
+        """How long a machine is down after a crash."""
         self.sent: list[tuple] = []
         self.decisions: list[tuple] = []
         self.terms: list[tuple[Term, asyncio.Task]] = []
@@ -315,6 +323,8 @@
         member = Member(order.task, order.run, size, self.now, self.takes_s, machine)
         self.members.append(member)
         machine.running[order.task, order.run] = member
+        if order.task.job_id in self.crash_after_s and not order.task.index:
+            self.spawn(self._crash_under(member))
         present = [member] if size == 1 else self.list_present(member.gang)
         if len(present) == size:
             for other in present:
@@ -415,6 +425,12 @@
         await asyncio.sleep(down_s)
         machine.restart()
 
+    async def _crash_under(self, member: Member) -> None:
+        """Crash the machine of a task, if the task still runs by then."""
+        await asyncio.sleep(self.crash_after_s[member.task.job_id])
+        if member.ended_at is None:
+            await self.restart_machine(member.machine.number, down_s=self.down_s)
+
     # -- jobs and leaders ----------------------------------------------------------
 
     def submit(self, name: str, *, count=2, gang=True, need=8, priority=1) -> None:
