Start suspected tasks apart from other work

What callers saw: jobs that shared a worker with the culprit waited with it until the crash was proved, were planned in the same pass, best fit put both on one worker again, and they lost their work again.

Cause: nothing told a task under which a worker had crashed from any other.

Change: a unit under which a worker crashed promptly, or two in all, is started on idle workers, and no other unit starts beside it until it has been at work for 2 s (for its whole run if a crash came late). If no worker is idle for 2 s it takes the one with the fewest tasks. Of the limits, three crashes now suffice if each was either lone or prompt: an innocent unit no longer meets a suspected one, so that a busy pool without idle workers loses three workers to a culprit, not four.

--- a/features/node_crashing_tasks.feature
+++ b/features/node_crashing_tasks.feature
@@ -67,3 +67,18 @@
     Given 6 workers, and a sound job of 8 s
     When its worker crashes, 2.5 s after its start, 2 times, and 120 s pass
     Then the job is done
+
+  Scenario: Other jobs lose work once at most to a task that crashes its workers
+    Guards against placing a suspected task, and what it met before, on one worker again.
+    Given 16 workers of 8 accelerators, a third used by sound jobs of 1 accelerator for 4 s
+    When 4 jobs that crash each worker 0.01 s after their start come 1.5 s apart
+    Then each of them is shown as "failed" after at most 5 starts
+    And from its second start on nothing else runs on the workers that it crashes
+    And each sound job is done
+
+  Scenario: A suspected task does not wait for an idle worker for ever
+    Guards against a job without an answer, as no worker ever becomes idle.
+    Given 4 workers of 8 accelerators, each used by a sound job of 5 accelerators for 40 s
+    When 1 job that crashes each worker 0.01 s after their start comes
+    Then each of them is shown as "failed" after at most 5 starts
+    And each sound job is done
--- a/features/steps/node_crashing_task_steps.py
+++ b/features/steps/node_crashing_task_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import itertools
 
 from behave import given, then, when
 
@@ -11,6 +12,7 @@
 DRAIN_S = 5.0
 CUT_S = 5.0
 LEASE_AND_MORE_S = 14.0
+SOUND_UNTIL_S = 60.0
 
 
 @given(
@@ -182,3 +184,82 @@
     play = context.play
     runs = [(round(m.started_at, 2), m.how) for m in list_starts(play, SOUND)]
     assert read_state(play, SOUND) == "completed", (read_state(play, SOUND), runs)
+
+
+@given(
+    "{workers:d} workers of 8 accelerators, a third used by sound jobs of 1 accelerator"
+    " for {takes:d} s"
+)
+def use_third(context, workers, takes):
+    async def submit_sound(play):
+        for number in itertools.count():
+            play.submit(f"{SOUND}-{number}", count=1, need=1, gang=False)
+            await asyncio.sleep(3 * takes / (8 * workers))
+            if play.now > SOUND_UNTIL_S:
+                return
+
+    context.play = GangPlay(workers, takes_s=takes)
+    context.submit_sound = submit_sound
+
+
+@given(
+    "{workers:d} workers of 8 accelerators, each used by a sound job of 5 accelerators"
+    " for {takes:d} s"
+)
+def use_each(context, workers, takes):
+    async def submit_sound(play):
+        for number in range(workers):
+            # Two of the larger ones do not fit on one worker.
+            play.submit(f"{SOUND}-{number}", count=1, need=5, gang=False)
+
+    context.play = GangPlay(workers, takes_s=takes)
+    context.submit_sound = submit_sound
+
+
+@when(
+    "{count:d} jobs that crash each worker {after:f} s after their start come {gap:f} s"
+    " apart"
+)
+def submit_many(context, count, after, gap):
+    async def script(play):
+        play.spawn(context.submit_sound(play))
+        await asyncio.sleep(6.0)
+        for number in range(count):
+            name = f"{CRASHING}-{number}"
+            play.crash_after_s[name] = after
+            play.submit(name, count=1, need=1, gang=False, priority=0)
+            await asyncio.sleep(gap)
+
+    context.play.play(script, seconds=120.0)
+
+
+@when("1 job that crashes each worker {after:f} s after their start comes")
+def submit_one(context, after):
+    submit_many(context, 1, after, 0.0)
+
+
+@then('each of them is shown as "{state}" after at most {most:d} starts')
+def check_each_given_up(context, state, most):
+    play = context.play
+    found = {
+        n: (read_state(play, n), len(list_starts(play, n))) for n in play.crash_after_s
+    }
+    assert all((s, n <= most) == (state, True) for s, n in found.values()), found
+
+
+@then("from its second start on nothing else runs on the workers that it crashes")
+def check_alone(context):
+    shared = [
+        (member.task.job_id, member.run, len(others))
+        for member, others in context.play.crashes
+        if member.run > 1 and others
+    ]
+    assert not shared, f"shared: {shared}"
+
+
+@then("each sound job is done")
+def check_sound(context):
+    play = context.play
+    names = [n for n in play.jobs if n.startswith(SOUND)]
+    lost = {n: read_state(play, n) for n in names if n not in play.done_at}
+    assert not lost, lost
--- a/features/support/gang_faults.py
+++ b/features/support/gang_faults.py
@@ -274,6 +274,8 @@
         """For jobs that crash the worker: how long after the start of a task."""
         self.down_s = 3.3
         """How long a machine is down after a crash."""
+        self.crashes: list[tuple[Member, list[Member]]] = []
+        """The members that crashed their machines, and what else ran there."""
         self.sent: list[tuple] = []
         self.decisions: list[tuple] = []
         self.terms: list[tuple[Term, asyncio.Task]] = []
@@ -433,6 +435,9 @@
         """Crash the machine of a task, if the task still runs by then."""
         await asyncio.sleep(self.crash_after_s[member.task.job_id])
         if member.ended_at is None:
+            running = member.machine.running.values()
+            others = [m for m in running if m.task.job_id != member.task.job_id]
+            self.crashes.append((member, others))
             await self.restart_machine(member.machine.number, down_s=self.down_s)
 
     # -- jobs and leaders ----------------------------------------------------------
--- a/src/firladder/_internal/engine/crashes.py
+++ b/src/firladder/_internal/engine/crashes.py
@@ -8,16 +8,13 @@
 """Seconds after its start within which a crash is prompt. Workers that crash for
 another reason do so at any moment of a run, which takes several seconds."""
 
-MAX_LONE_PROMPT_CRASHES = 2
-"""Prompt crashes, on workers where only its job ran, from which a task counts as their
-cause."""
+MAX_CRASHES = {2: 2, 1: 3, 0: 4}
+"""Crashes from which a task counts as their cause, by how many of two signs point to it
+at least: its job was alone on the worker, and the crash was prompt.
 
-MAX_LONE_CRASHES = 3
-"""The same for crashes at any time of its run."""
-
-MAX_CRASHES = 4
-"""The same wherever it ran. Units that are suspected run alone if there is room, so a
-task meets other tasks that crash workers seldom more than once."""
+A suspected unit runs alone if there is room, and never beside another one. So a sound
+task meets one that crashes workers seldom more than once, and another crash by chance
+then gives it no second sign."""
 
 
 def is_prompt(placement: Placement, unit: Unit, crashed_at: float) -> bool:
@@ -44,12 +41,10 @@
 
 def uses_up_crashes(unit: Unit) -> bool:
     """Return whether a task of the unit counts as the cause of its crashes."""
-    charged = Counter(c.index for c in unit.crashes)
-    lone = Counter(c.index for c in unit.crashes if c.alone)
-    prompt = Counter(c.index for c in unit.crashes if c.alone and c.prompt)
     return any(
-        count >= MAX_CRASHES
-        or lone[index] >= MAX_LONE_CRASHES
-        or prompt[index] >= MAX_LONE_PROMPT_CRASHES
-        for index, count in charged.items()
+        count >= most
+        for signs, most in MAX_CRASHES.items()
+        for count in Counter(
+            c.index for c in unit.crashes if c.alone + c.prompt >= signs
+        ).values()
     )
--- /dev/null
+++ b/src/firladder/_internal/engine/isolation.py
@@ -0,0 +1,61 @@
+"""Keep tasks that may crash their workers away from other work."""
+
+from collections.abc import Iterator, Mapping, Sequence
+
+from .placement import Candidate
+from .state import Phase, Placement, Unit, Worker
+
+MAX_ISOLATION_WAIT_S = 2.0
+"""Seconds for which a suspected unit waits for idle workers. It may be innocent, and
+there may never be any."""
+
+PROBATION_S = 2.0
+"""Seconds after its start for which a unit under which workers crashed promptly keeps
+its workers to itself; twice the longest time that a prompt crash takes."""
+
+
+def is_suspect(unit: Unit) -> bool:
+    """Return whether a unit may crash its next worker.
+
+    One crash in the middle of a run says little: whatever else ran there saw it too.
+    """
+    return any(c.prompt for c in unit.crashes) or len({c.run for c in unit.crashes}) > 1
+
+
+def is_on_probation(worker: Worker, now: float) -> bool:
+    """Return whether no other task should start there, as one may crash the worker."""
+    return any(_may_crash(p, now) for p in worker.placements.values())
+
+
+def _may_crash(placement: Placement, now: float) -> bool:
+    unit = placement.unit
+    if unit is None or not unit.crashes or placement.phase is Phase.STOPPING:
+        return False
+    if not is_suspect(unit):
+        return False
+    if not unit.all_active or not all(c.prompt for c in unit.crashes):
+        return True
+    return now - unit.active_since < PROBATION_S
+
+
+def list_apart(
+    unit: Unit,
+    pool: Sequence[Candidate],
+    workers: Mapping[str, Worker],
+    now: float,
+) -> Iterator[list[Candidate]]:
+    """Yield the workers for a suspected unit, those where it can do least harm first.
+
+    Until it has waited for ``MAX_ISOLATION_WAIT_S`` only idle ones are yielded.
+    """
+    yield [c for c in pool if c.free == c.capacity]
+    if awaits_isolation(unit, now):
+        return
+    tasks = {c.worker_id: len(workers[c.worker_id].placements) for c in pool}
+    for most in sorted(set(tasks.values())):
+        yield [c for c in pool if tasks[c.worker_id] <= most]
+
+
+def awaits_isolation(unit: Unit, now: float) -> bool:
+    """Return whether a suspected unit is still to wait for idle workers."""
+    return is_suspect(unit) and now - unit.waiting_since < MAX_ISOLATION_WAIT_S
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -16,9 +16,11 @@
     find_idle_pools,
     is_starved,
 )
+from .isolation import awaits_isolation, is_on_probation, is_suspect, list_apart
 from .lateness import is_late
 from .placement import (
     Candidate,
+    fits_one_rack,
     list_suitable,
     measure_largest_rack,
     place_unit,
@@ -141,9 +143,11 @@
                 self._plan(unit, workers, pool)
                 planned += 1
                 continue
-            if not unit.avoided:
+            if not (unit.avoided or is_suspect(unit)):
                 # Otherwise the unit may wait for a worker that only it avoids.
                 blocked.add(step_key)
+            if awaits_isolation(unit, now):
+                continue
             if job.accepted.priority == 0 and self._preempt_for(unit, pool, now):
                 continue
             if len(unit.indices) == 1 or protected_gangs >= MAX_PROTECTED_GANGS:
@@ -166,6 +170,8 @@
             quarantined = now < worker.quarantined_until
             if quarantined and worker.entry.pool not in suspect:
                 continue
+            if is_on_probation(worker, now):
+                continue
             entry = worker.entry
             pools.setdefault(entry.pool, []).append(
                 Candidate(
@@ -300,20 +306,39 @@
     ) -> list[str] | None:
         if demand.run_time_s == ANY_WORKER_S:
             pool = [dataclasses.replace(c, backfill_window_s=math.inf) for c in pool]
+        if is_suspect(unit):
+            return self._place_apart(unit, pool, now, demand)
         avoided = self._list_avoided(unit, pool, now)
-        found = place_unit(
+        found = self._place_within(unit, pool, now, demand)
+        if found is None:
+            self._shortages.record(demand, unit.step, has_exclusions=bool(avoided))
+        return found
+
+    def _place_within(
+        self, unit: Unit, pool: Sequence[Candidate], now: float, demand: Demand
+    ) -> list[str] | None:
+        return place_unit(
             unit.step,
             demand.count,
             pool,
-            avoided=avoided,
+            avoided=self._list_avoided(unit, pool, now),
             taken=self._count_taken(unit),
             spread_allowed=self._may_spread(unit, now),
             run_time_s=max(0.0, demand.run_time_s),
             fast_first=unit.job.accepted.priority == 0,
         )
-        if found is None:
-            self._shortages.record(demand, unit.step, has_exclusions=bool(avoided))
-        return found
+
+    def _place_apart(
+        self, unit: Unit, pool: Sequence[Candidate], now: float, demand: Demand
+    ) -> list[str] | None:
+        """Return workers for a unit that may crash them, if possible idle ones."""
+        for option in list_apart(unit, pool, self._core.workers, now):
+            if demand.one_rack and not fits_one_rack(unit.step, demand.count, option):
+                continue
+            found = self._place_within(unit, option, now, demand)
+            if found is not None:
+                return found
+        return None
 
     def _may_spread(self, unit: Unit, now: float) -> bool:
         if unit.step.rack in self._evacuated_racks:
@@ -353,8 +378,10 @@
         self, unit: Unit, workers: Sequence[str], pool: Sequence[Candidate]
     ) -> None:
         by_id = {c.worker_id: c for c in pool}
+        apart = is_suspect(unit)
         for worker_id in workers:
-            by_id[worker_id].free = by_id[worker_id].free - unit.step.need
+            free = by_id[worker_id].free - unit.step.need
+            by_id[worker_id].free = Resources() if apart else free
         self._core.plan_run(unit, workers)
         self._estimates.invalidate(unit)
 
