Withdraw starts that a worker has become too small for

What callers would see: tasks killed, or slowed down, on workers that were given more than they can hold. A worker's capacity may now shrink and grow while it runs.

Cause: the newest entry's capacity was used for what is planned next, but starts that were planned for the former one, and not yet stored, sent or answered, still left. A task whose data is near workers that have all become too small waited for them for ever.

Change: when an entry leaves a worker with more than its capacity, runs that are not known to be active are withdrawn, the least urgent and newest first, as for an evacuation. What is at work goes on, and what is being stopped counts until its end. Work whose rack has no worker that is large enough may start elsewhere.

--- a/features/support/engine_chaos.py
+++ b/features/support/engine_chaos.py
@@ -30,14 +30,25 @@
     token: int
     until: float
     stop: bool
+    sent_at: float
 
 
 class Chaos:
     """Plays random events; ``problems`` lists the violated invariants."""
 
-    def __init__(self, rng: random.Random, *, always_failing: bool = False) -> None:
-        """Prepare; with ``always_failing``, every other job fails in each run."""
+    def __init__(
+        self,
+        rng: random.Random,
+        *,
+        always_failing: bool = False,
+        resizing: bool = False,
+    ) -> None:
+        """Prepare; with ``always_failing``, every other job fails in each run.
+
+        With ``resizing``, workers shrink and grow.
+        """
         self.rng = rng
+        self.resizing = resizing
         self.always_failing = always_failing
         self.world = EngineWorld(0)
         self.world.entries = []
@@ -50,6 +61,7 @@
         self.runs: dict = {}
         self.gang_runs: dict = {}
         self.failed: dict = {}
+        self.resized_at: dict[str, float] = {}
         self.token = 1
         self.problems: list[str] = []
         self.submitted = 0
@@ -72,6 +84,8 @@
             (self.change_leader, 0.3),
             (self.reincarnate, 0.15),
         ]
+        if self.resizing:
+            moves.append((self.resize, 2))
         actions, weights = zip(*moves, strict=True)
         for _ in range(events):
             self.rng.choices(actions, weights)[0]()
@@ -141,17 +155,21 @@
         if self.rng.random() < 0.08:
             due = self.world.now + self.rng.uniform(0, MAX_DELAY_S)
             self.delayed.append(
-                DelayedOrder(due, placement, order, self.token, until, stop)
+                DelayedOrder(
+                    due, placement, order, self.token, until, stop, self.world.now
+                )
             )
             return SentUnanswered(reason="late")
-        answer = self.carry_out(sim, placement, order, self.token, until, stop)
+        answer = self.carry_out(
+            sim, placement, order, self.token, until, stop, self.world.now
+        )
         if self.rng.random() < 0.05:
             return SentUnanswered(reason="answer lost")
         if answer in ("ok", "started"):
             return self.world.now
         return OrderRejected(reason=answer, rejection=answer)
 
-    def carry_out(self, sim, placement, order, token, until, stop) -> str:
+    def carry_out(self, sim, placement, order, token, until, stop, sent_at) -> str:
         now = self.world.now
         if stop:
             return sim.stop(order, token, now)
@@ -159,8 +177,16 @@
         if answer == "started":
             sim.running[order.task, order.run] = placement
             self.check_start(placement, token)
+            self.check_room(sim, sent_at)
         return answer
 
+    def check_room(self, sim, sent_at) -> None:
+        """Compare the tasks on a worker with the capacity when a start was sent."""
+        if self.resized_at.get(sim.entry.worker_id, 0.0) > sent_at:
+            return
+        if not sim.entry.capacity.covers(sim.used()):
+            self.problems.append(f"{sim.entry.worker_id} is over its capacity")
+
     def check_start(self, placement, token) -> None:
         task = placement.task
         self.restarted |= {end for end in self.done if end[0] == task}
@@ -215,6 +241,7 @@
                     delayed.token,
                     delayed.until,
                     delayed.stop,
+                    delayed.sent_at,
                 )
 
     def poll(self) -> None:
@@ -327,8 +354,22 @@
         self.sims[entry.worker_id] = SimulatedWorker(entry)
         world.core.register_worker(entry, now=world.now)
 
+    def resize(self) -> None:
+        """Change a worker's capacity, which is known to the engine at once."""
+        world = self.world
+        old = self.rng.choice(world.entries)
+        accelerators = self.rng.choice([1, 2, 4, 6, 8, 8])
+        capacity = dataclasses.replace(old.capacity, accelerators=accelerators)
+        entry = dataclasses.replace(old, capacity=capacity)
+        world.entries[world.entries.index(old)] = entry
+        self.sims[entry.worker_id].entry = entry
+        self.resized_at[entry.worker_id] = world.now
+        world.core.register_worker(entry, now=world.now)
+
     def check_capacity(self) -> None:
         for sim in self.sims.values():
             sim.expire(self.world.now)
+            if sim.entry.worker_id in self.resized_at:
+                continue
             if not sim.entry.capacity.covers(sim.used()):
                 self.problems.append(f"{sim.entry.worker_id} is over its capacity")
--- a/src/firladder/_internal/engine/placement.py
+++ b/src/firladder/_internal/engine/placement.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection, Iterable, Sequence
 
 from ..models.workload import Resources, Step
+from .state import Worker
 
 UNBOUNDED = 1 << 30
 """A task count that is larger than any worker can hold."""
@@ -106,6 +107,15 @@
     )
 
 
+def collect_racks(workers: Iterable[Worker]) -> dict[str, set[Resources]]:
+    """Return the different capacities of the registered workers of each rack."""
+    racks: dict[str, set[Resources]] = {}
+    for worker in workers:
+        if worker.registered:
+            racks.setdefault(worker.rack, set()).add(worker.entry.capacity)
+    return racks
+
+
 def group_by_rack(candidates: Sequence[Candidate]) -> list[list[Candidate]]:
     """Return the workers grouped by rack."""
     ordered = sorted(candidates, key=lambda c: (c.rack, c.worker_id))
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Iterator, Mapping, Sequence
 
-from ..models.workload import Queue, Resources
+from ..models.workload import Queue, Resources, Step
 from .core import Core
 from .draining import list_units_to_move
 from .estimates import Estimates
@@ -20,6 +20,7 @@
 from .lateness import is_late
 from .placement import (
     Candidate,
+    collect_racks,
     fits_one_rack,
     list_suitable,
     measure_largest_rack,
@@ -91,7 +92,7 @@
         self._queues: dict[str, Queue] = {}
         self._idle_pools: set[str] = set()
         self._evacuated_racks: set[str] = set()
-        self._racks: set[str] = set()
+        self._racks: dict[str, set[Resources]] = {}
         self._shortages = Shortages()
         self._largest_racks: dict[tuple[str, Resources], int] = {}
         self.next_due_s: float | None = None
@@ -111,7 +112,7 @@
         self._evacuated_racks = {
             w.rack for w in core.workers.values() if w.rack and core.is_evacuated(w)
         }
-        self._racks = {w.rack for w in core.workers.values() if w.registered}
+        self._racks = collect_racks(core.workers.values())
         waiting = sorted(
             self._list_waiting(now, wall), key=lambda unit: self._rank(unit, wall)
         )
@@ -344,8 +345,8 @@
         if unit.step.rack in self._evacuated_racks:
             # Nothing starts there until the operators end the evacuation.
             return True
-        if unit.step.rack and unit.step.rack not in self._racks:
-            # All its workers have left.
+        if unit.step.rack and not self._fits_rack(unit.step):
+            # All its workers have left, or have become too small.
             return True
         if self._is_starved_in_idle_pool(unit, now, longer_than=SPREAD_IF_IDLE_AFTER_S):
             return True
@@ -356,6 +357,11 @@
         )
         return urgent and late and self._is_guaranteed(unit)
 
+    def _fits_rack(self, step: Step) -> bool:
+        """Return whether a worker near the step's data is large enough for a task."""
+        sizes = self._racks.get(step.rack, ())
+        return any(size.covers(step.need) for size in sizes)
+
     def _list_avoided(
         self, unit: Unit, pool: Sequence[Candidate], now: float
     ) -> set[str]:
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -30,6 +30,7 @@
                 self._mark_jobs_changed(worker)
             worker.entry = entry
             worker.registered = True
+            self.withdraw_excess(worker)
         worker.entry_seen_at = now
         for other in list(self.workers.values()):
             same_address = other.entry.address == entry.address
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable, Iterable
 
 from ..models.order import Ending, StartOrder, StopOrder
-from ..models.workload import QueueConfiguration
+from ..models.workload import QueueConfiguration, Resources
 from .crashes import uses_up_crashes
 from .speeds import Speeds
 from .state import Job, JobState, Phase, Placement, Unit, UnitState, Worker
@@ -40,6 +40,9 @@
 DEFAULT_MEMBER_WAIT_S = 3.0
 """Seconds that a gang's member waits for the others, unless the platform says more."""
 
+WITHDRAWABLE = (Phase.PLANNED, Phase.SENT)
+"""Phases of a placement whose start may not have been sent yet."""
+
 DecisionLogger = Callable[..., None]
 """Logs a decision by its name and its inputs."""
 
@@ -48,6 +51,12 @@
     """Discard a decision instead of logging it."""
 
 
+def _get_priority(placement: Placement) -> int:
+    """Return the priority of a placement's job; 0 is the most urgent."""
+    unit = placement.unit
+    return 0 if unit is None else unit.job.accepted.priority
+
+
 class Runs:
     """The runs of all units on all workers, and the orders that are due."""
 
@@ -127,15 +136,32 @@
         """
         added, self.evacuated = domains - self.evacuated, domains
         withdrawn = [
-            placement.unit
+            placement
             for worker in self.workers.values()
             if worker.entry.failure_domain in added
             for placement in worker.placements.values()
-            if placement.phase in (Phase.PLANNED, Phase.SENT)
+            if placement.phase in WITHDRAWABLE
         ]
-        for unit in withdrawn:
-            if unit is not None:
-                self.preempt(unit)
+        for placement in withdrawn:
+            if placement.unit is not None:
+                self.preempt(placement.unit)
+
+    def withdraw_excess(self, worker: Worker) -> None:
+        """Withdraw runs from a worker that has become too small for its tasks.
+
+        Only those are withdrawn that are not known to be active, the least urgent and
+        newest first: their start orders could otherwise exceed the capacity.
+        """
+        free = worker.free
+        newest_first = reversed(worker.placements.values())
+        pending = [p for p in newest_first if p.phase in WITHDRAWABLE]
+        pending.sort(key=_get_priority, reverse=True)
+        for placement in pending:
+            if free.covers(Resources()):
+                return
+            free += placement.need
+            if placement.unit is not None:
+                self.preempt(placement.unit)
 
     def is_evacuated(self, worker: Worker) -> bool:
         """Return whether a worker gets no new work because of its failure domain."""
