Let the soak submit jobs that crash their workers

The stand-ins' workers crash under a task whose text asks for it: connections are reset, none is accepted for up to 6 s, and a new incarnation comes back at the same address; the former one's entry goes three heartbeats later. Without the option the seeds draw what they drew before.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import itertools
 from typing import Any
 
 import msgspec
@@ -20,6 +21,9 @@
 MAX_BODY_BYTES = 2 * 1024 * 1024
 """Limit of a call to the store: a value of 1 MB in base64, and the rest of the body."""
 
+MISSED_BEATS = 3
+"""Heartbeats after which the entry of a crashed worker is removed."""
+
 BACKGROUND_TASKS: set["asyncio.Task[Any]"] = set()
 
 
@@ -43,6 +47,8 @@
         {
             "starts": ledger.starts,
             "done": sorted(ledger.done),
+            "failed": sorted(ledger.failed),
+            "crashes": dict(ledger.crashes),
             "problems": ledger.problems,
             "running": running,
             "calls": app.store.calls,
@@ -51,13 +57,23 @@
 
 
 async def send_heartbeats(store: MemoryStore, worker: Worker) -> None:
-    """Register a worker at the start and then every 30 heartbeats, unless silent."""
-    seq = 0
-    while True:
-        seq += 1
-        if not worker.faults.silent and (seq == 1 or seq % 30 == 0):
-            entry = msgspec.json.encode(worker.describe(seq))
-            await store.put(f"servers/{worker.worker_id}", entry)
+    """Register a worker at the start and then every 30 heartbeats, unless silent.
+
+    The entry of an incarnation that has crashed is removed three heartbeats later.
+    """
+    last_beats: dict[str, int] = {}
+    for seq in itertools.count(1):
+        worker_id = worker.worker_id
+        if not (worker.faults.silent or worker.down):
+            if worker_id not in last_beats or seq % 30 == 0:
+                entry = msgspec.json.encode(worker.describe(seq))
+                await store.put(f"servers/{worker_id}", entry)
+            last_beats[worker_id] = seq
+        former = [w for w, beat in last_beats.items() if seq - beat > MISSED_BEATS]
+        for name in former:
+            if name != worker_id or worker.down:
+                await store.apply([], [f"servers/{name}"])
+                del last_beats[name]
         await asyncio.sleep(HEARTBEAT_S)
 
 
@@ -71,7 +87,7 @@
         address, _, advertised = pair.partition(">")
         worker = Worker(number, advertised or address, ledger, options.seed)
         ledger.workers.append(worker)
-        worker.server.listen(address)
+        worker.listen(address)
         loops += [worker.end_due_runs(), send_heartbeats(store, worker)]
     BACKGROUND_TASKS.update(asyncio.get_running_loop().create_task(x) for x in loops)
 
--- a/standins/platform_workers.py
+++ b/standins/platform_workers.py
@@ -11,6 +11,7 @@
 import itertools
 import random
 import time
+from collections import Counter
 from typing import Any
 
 import msgspec
@@ -48,6 +49,12 @@
     fail_share: float = 0.0
 
 
+CRASH_DELAY_S = 0.01
+"""Seconds from the start of a task that crashes its worker to the crash."""
+
+MAX_CRASHED_STARTS = 5
+"""How often a task that crashes its workers may be started."""
+
 GANG_START_TIMEOUT_S = 3.0
 """Seconds that a member of a gang waits for the other members to start."""
 
@@ -81,8 +88,11 @@
         """Start empty."""
         self.starts: list[tuple[str, int, str]] = []
         self.done: set[str] = set()
+        self.failed: set[str] = set()
+        self.crashes: Counter[str] = Counter()
         self.problems: list[str] = []
         self.workers: list[Worker] = []
+        self.tasks: set[asyncio.Task[None]] = set()
 
     def record_start(
         self, worker: "Worker", task: str, run: int, accelerators: int
@@ -95,6 +105,8 @@
         for other in self.workers:
             if any(r.task == task for r in other.runs.values()):
                 self.problems.append(f"{task} run {run} runs twice")
+        if self.crashes[task] >= MAX_CRASHED_STARTS:
+            self.problems.append(f"{task} run {run} crashes yet another worker")
         if task in self.done:
             self.problems.append(f"{task} run {run} started after it was done")
 
@@ -123,22 +135,54 @@
 
     def __init__(self, number: int, address: str, ledger: Ledger, seed: int) -> None:
         """Prepare the worker; the caller makes its server listen."""
-        self.worker_id = f"i-{number:04x}"
+        self.number = number
+        self.lives = itertools.count()
         self.address = address
+        self.down = False
         self.rack = f"r1-{number // 4}"
         self.ledger = ledger
         self.rng = random.Random(seed * 1000 + number)
         self.faults = WorkerFaults()
+        self.changed = asyncio.Condition()
+        self.rate = SLOW_CLOCK_RATE if number % 3 == 2 else 1.0
+        self._begin_life()
+
+    def _begin_life(self) -> None:
+        """Begin a new incarnation, which knows nothing of the former one."""
+        life = next(self.lives)
+        self.worker_id = f"i-{self.number:04x}" + (f"-{life}" if life else "")
         self.runs: dict[tuple[str, int], Run] = {}
         self.highest_runs: dict[str, int] = {}
         self.ended: list[list[Any]] = []
         self.end_numbers = itertools.count(1)
         self.token = 0
         self.lease_expires_at = 0.0
-        self.changed = asyncio.Condition()
-        self.rate = SLOW_CLOCK_RATE if number % 3 == 2 else 1.0
+        self.transports: set[Any] = set()
         self.server = HttpServer(self, routes)
 
+    def listen(self, address: str) -> None:
+        """Listen on ``ip:port``, now and after each crash."""
+        self._listens_on = address
+        self.server.listen(address)
+
+    async def crash_under(self, key: tuple[str, int]) -> None:
+        """Crash because of a run that has just begun, and come back later."""
+        await asyncio.sleep(CRASH_DELAY_S)
+        if key not in self.runs or self.down:
+            return
+        self.down = True
+        self.ledger.crashes[key[0]] += 1
+        for other in list(self.runs):
+            if other in self.runs:
+                await self.end(other, "crashed")
+        for transport in self.transports:
+            transport.abortConnection()
+        await self.server.close()
+        await asyncio.sleep(self.rng.uniform(0.2, 6.0))
+        self._begin_life()
+        self.server.listen(self._listens_on)
+        self.down = False
+
     def read_clock(self) -> float:
         """Return the worker's own steady clock in seconds."""
         return time.monotonic() * self.rate
@@ -192,12 +236,15 @@
         self.highest_runs[task] = max(run, self.highest_runs.get(task, 0))
         if how == "done":
             self.ledger.done.add(task)
+        if how == "failed":
+            self.ledger.failed.add(task)
         self.ended.append([next(self.end_numbers), task, run, how, ""])
         async with self.changed:
             self.changed.notify_all()
 
     def check_call(self, call: HttpCall, token: int) -> HttpReply | None:
         """Return a rejection if a call is for another incarnation or is fenced off."""
+        self.transports.add(call.transport)
         requested = call.headers.get("x-target-instance", self.worker_id)
         if requested != self.worker_id:
             return HttpReply(421)
@@ -250,12 +297,15 @@
     if run <= worker.highest_runs.get(task, 0):
         return worker.reply(409, reason="old")
     worker.extend_lease(body["deadline_ms"])
-    takes, accelerators, members = [*body["spec"].split(), "0", "1"][:3]
+    takes, accelerators, members, *rest = [*body["spec"].split(), "0", "1"]
     begun = Run(task, run, time.monotonic(), float(takes), int(accelerators))
     begun.members = int(members)
     worker.ledger.record_start(worker, task, run, begun.accelerators)
     worker.runs[task, run] = begun
     worker.ledger.begin_run(begun, time.monotonic())
+    if "crash" in rest:
+        crash = asyncio.ensure_future(worker.crash_under((task, run)))
+        worker.ledger.tasks.add(crash)
     return worker.reply()
 
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -51,14 +51,26 @@
     refused: bool = False
     uncertain: bool = False
     cancelled: bool = False
+    crashes: bool = False
     last_state: str = ""
 
 
 class Client(threading.Thread):
     """Submits jobs one after the other over a persistent connection per node."""
 
-    def __init__(self, site: PlatformSite, rng: random.Random, number: int) -> None:
-        """Prepare a client whose job ids begin at ``number << 32``."""
+    def __init__(
+        self,
+        site: PlatformSite,
+        rng: random.Random,
+        number: int,
+        *,
+        crash_share: float,
+    ) -> None:
+        """Prepare a client whose job ids begin at ``number << 32``.
+
+        ``crash_share`` of its jobs crash each worker that starts them.
+        """
+        self.crash_share = crash_share
         super().__init__(daemon=True)
         self.site = site
         self.rng = rng
@@ -84,11 +96,13 @@
         gang = self.rng.random() < 0.4
         # A gang that takes four whole workers would fit nowhere and wait forever.
         gpu = self.rng.choice([1, 2, 4] if gang else [1, 2, 4, 8])
-        job = Submission(f"{next(self.numbers):016x}", count)
+        crashes = bool(self.crash_share) and self.rng.random() < self.crash_share
+        job = Submission(f"{next(self.numbers):016x}", count, crashes=crashes)
         self.jobs.append(job)
         step = {"count": count, "cpu": 500, "mem_mb": 100, "gpu": gpu, "gang": gang}
         run_time_s = self.rng.choice([0.2, 0.5, 1.5, 3.0])
-        body = {"spec": f"{run_time_s} {gpu} {count if gang else 1}", "steps": [step]}
+        spec = f"{run_time_s} {gpu} {count if gang else 1}" + " crash" * crashes
+        body = {"spec": spec, "steps": [step]}
         for _ in range(4):
             status = self._call("POST", job, body)
             if status == 200:
@@ -169,7 +183,13 @@
     """A soak run with one seed."""
 
     def __init__(
-        self, seed: int, *, nodes: int = 3, workers: int = 3, domains: int = 1
+        self,
+        seed: int,
+        *,
+        nodes: int = 3,
+        workers: int = 3,
+        domains: int = 1,
+        crash_share: float = 0.0,
     ) -> None:
         """Start all processes; nodes take the failure domains in rotation."""
         self.rng = random.Random(seed)
@@ -182,7 +202,12 @@
         self.log: list[str] = []
         self.problems: list[str] = []
         self.clients = [
-            Client(self.site, random.Random(seed * 100 + n), n + 1)
+            Client(
+                self.site,
+                random.Random(seed * 100 + n),
+                n + 1,
+                crash_share=crash_share,
+            )
             for n in range(CLIENT_COUNT)
         ]
 
@@ -268,6 +293,18 @@
             for j in jobs
             if j.refused and not j.accepted and j.job_id in started
         ]
+        problems += [
+            f"{j.job_id} was given up without a failed run or a crash of its own"
+            for j in jobs
+            if j.last_state == "failed"
+            and not j.crashes
+            and j.job_id not in {task.split(".")[0] for task in ledger["failed"]}
+        ]
+        problems += [
+            f"{j.job_id} crashes its workers and is shown as {j.last_state}"
+            for j in jobs
+            if j.crashes and j.last_state in ("completed", "running")
+        ]
         running = {t.split(".")[0] for ts in ledger["running"].values() for t in ts}
         problems += [
             f"{j.job_id} was cancelled but is running"
@@ -431,9 +468,11 @@
     return lambda: None
 
 
-def run_seed(seed: int, seconds: float, *, domains: int = 1) -> bool:
+def run_seed(
+    seed: int, seconds: float, *, domains: int = 1, crash_share: float = 0.0
+) -> bool:
     """Run one seed, print the problems and return whether there were none."""
-    soak = Soak(seed, domains=domains)
+    soak = Soak(seed, domains=domains, crash_share=crash_share)
     problems = ["the soak run was aborted"]
     try:
         problems = soak.run(seconds)
@@ -466,10 +505,21 @@
     )
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--domains", type=int, default=1, help="failure domains")
+    parser.add_argument(
+        "--crash_share",
+        type=float,
+        default=0.0,
+        help="share of jobs that crash workers",
+    )
     options = parser.parse_args()
     first_seed = options.seed if options.seed is not None else int(time.time())
     results = [
-        run_seed(first_seed + n, options.seconds, domains=options.domains)
+        run_seed(
+            first_seed + n,
+            options.seconds,
+            domains=options.domains,
+            crash_share=options.crash_share,
+        )
         for n in range(options.seeds)
     ]
     return 0 if all(results) else 1
