Leave crashes out that a worker's own restarts explain

What callers would see: sound jobs given up beside workers that go down and up by turns. Such a worker comes back idle, gets a task at once, and crashes within a second: that looked like a task that crashes its workers.

Cause: a crash was weighed by what ran on the worker, not by what the worker did before.

If a worker crashed while idle, or twice without the job, the crash is no sign against the job: it counts only towards the four in all. Suspected units go to such workers last. When a job is given up, the crashes that it caused are forgotten. What was called 'alone' is 'sole' now.

--- /dev/null
+++ b/features/engine_crashes.feature
@@ -0,0 +1,68 @@
+Feature: Which crashes of a worker count against a task
+
+  Background:
+    Given 4 workers of 8 accelerators and a job "a" that needs one of them
+
+  Scenario Outline: A crash is weighed by what else may have caused it
+    Guards against giving up a job for crashes that something else explains.
+    Given <before>
+    When "a" runs there for <seconds> s and the worker <goes>
+    Then a crash is charged to "a", sole <sole>, prompt <prompt>
+
+    Examples:
+      | before                                   | seconds | goes                     | sole | prompt |
+      | nothing else                             | 0.5     | crashes                  | yes  | yes    |
+      | nothing else                             | 5       | crashes                  | yes  | no     |
+      | job "b" runs there too                   | 0.5     | crashes                  | no   | yes    |
+      | job "b" was stopped there, unproved      | 0.5     | crashes                  | no   | yes    |
+      | job "b" is only planned there            | 0.5     | crashes                  | yes  | yes    |
+      | the worker has crashed idle              | 0.5     | crashes                  | no   | no     |
+      | the worker has crashed once under "b"    | 0.5     | crashes                  | yes  | yes    |
+      | the worker has crashed twice without "a" | 0.5     | crashes                  | no   | no     |
+      | the worker has drained and come back     | 0.5     | crashes                  | yes  | yes    |
+      | the crash comes before the answer        | 0       | crashes                  | yes  | yes    |
+
+  Scenario Outline: A loss that is no crash is charged to nobody
+    Guards against counting workers that leave, are cut off, or never began the task.
+    Given <before>
+    When "a" runs there for 0.5 s and the worker <goes>
+    Then no crash is charged to "a"
+
+    Examples:
+      | before                    | goes                                                 |
+      | nothing else              | drains and is replaced                               |
+      | nothing else              | is silent and is replaced                            |
+      | nothing else              | is silent for 4 s, then refuses, and is replaced     |
+      | nothing else              | is silent until its runs lapse, and is replaced      |
+      | nothing else              | closes, answers again, falls silent, and is replaced |
+      | the start is on its way   | is replaced before it answers                        |
+
+  Scenario Outline: A job is given up by the weight of its crashes
+    Guards against giving up too early, or only after more starts than are allowed.
+    When "a" has crashes of <signs> signs each, <count> of them
+    Then the job is shown as "<state>"
+
+    Examples:
+      | signs | count | state   |
+      | 2     | 1     | running |
+      | 2     | 2     | failed  |
+      | 1     | 2     | running |
+      | 1     | 3     | failed  |
+      | 0     | 3     | running |
+      | 0     | 4     | failed  |
+
+  Scenario: Tasks that last are not given up for crashes by chance
+    Guards against ending a service that has seen several workers crash in its life.
+    Given the tasks of "a" last until it is cancelled
+    When "a" has crashes of 1 signs each, 6 of them, all long after its start
+    Then the job is shown as "running"
+
+  Scenario: A record of an older build is read
+    Guards against a new leader that cannot read the progress of running jobs.
+    When the record of "a" lacks the fields that tell of crashes
+    Then a successor reads its run, and no crash
+
+  Scenario: An older build reads the record
+    Guards against a fleet that is updated, and goes back, while jobs run.
+    When "a" has crashes of 2 signs each, 1 of them
+    Then a decoder without the fields that tell of crashes reads the record
--- a/features/node_crashing_tasks.feature
+++ b/features/node_crashing_tasks.feature
@@ -82,3 +82,9 @@
     When 1 job that crashes each worker 0.01 s after their start comes
     Then each of them is shown as "failed" after at most 5 starts
     And each sound job is done
+
+  Scenario: Sound jobs are done beside workers that keep crashing by themselves
+    Guards against charging jobs with the crashes of a worker that goes down and up.
+    Given 6 workers, and a sound job of 3 s
+    When 24 such jobs come 0.7 s apart, while 3 workers are 0.8 s up and 0.8 s down in turn
+    Then each sound job is done
--- a/features/steps/node_crashing_task_steps.py
+++ b/features/steps/node_crashing_task_steps.py
@@ -13,6 +13,7 @@
 CUT_S = 5.0
 LEASE_AND_MORE_S = 14.0
 SOUND_UNTIL_S = 60.0
+FLAPPING_UNTIL_S = 60.0
 
 
 @given(
@@ -135,6 +136,12 @@
     await asyncio.sleep(LEASE_AND_MORE_S)
 
 
+async def flap(play, number, up_s, down_s):
+    while play.now < FLAPPING_UNTIL_S:
+        await asyncio.sleep(up_s)
+        await play.restart_machine(number, down_s=down_s)
+
+
 async def crash(play, machine):
     await play.restart_machine(machine.number, down_s=play.down_s)
 
@@ -263,3 +270,19 @@
     names = [n for n in play.jobs if n.startswith(SOUND)]
     lost = {n: read_state(play, n) for n in names if n not in play.done_at}
     assert not lost, lost
+
+
+@when(
+    "{count:d} such jobs come {gap:f} s apart, while {workers:d} workers are {up:f} s"
+    " up and {down:f} s down in turn"
+)
+def submit_beside_flapping(context, count, gap, workers, up, down):
+    async def script(play):
+        for number in range(workers):
+            play.spawn(flap(play, number, up, down))
+        await asyncio.sleep(3.0)
+        for number in range(count):
+            play.submit(f"{SOUND}-{number}", count=1, gang=False)
+            await asyncio.sleep(gap)
+
+    context.play.play(script, seconds=150.0)
--- a/src/firladder/_internal/engine/crashes.py
+++ b/src/firladder/_internal/engine/crashes.py
@@ -10,7 +10,7 @@
 
 MAX_CRASHES = {2: 2, 1: 3, 0: 4}
 """Crashes from which a task counts as their cause, by how many of two signs point to it
-at least: its job was alone on the worker, and the crash was prompt.
+at least: its job was the only one there, and the crash was prompt.
 
 A suspected unit runs alone if there is room, and never beside another one. So a sound
 task meets one that crashes workers seldom more than once, and another crash by chance
@@ -45,6 +45,6 @@
         count >= most
         for signs, most in MAX_CRASHES.items()
         for count in Counter(
-            c.index for c in unit.crashes if c.alone + c.prompt >= signs
+            c.index for c in unit.crashes if c.sole + c.prompt >= signs
         ).values()
     )
--- a/src/firladder/_internal/engine/isolation.py
+++ b/src/firladder/_internal/engine/isolation.py
@@ -1,7 +1,8 @@
 """Keep tasks that may crash their workers away from other work."""
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterator, Sequence
 
+from .core import Core
 from .placement import Candidate
 from .state import Phase, Placement, Unit, Worker
 
@@ -41,21 +42,28 @@
 def list_apart(
     unit: Unit,
     pool: Sequence[Candidate],
-    workers: Mapping[str, Worker],
+    core: Core,
     now: float,
 ) -> Iterator[list[Candidate]]:
     """Yield the workers for a suspected unit, those where it can do least harm first.
 
-    Until it has waited for ``MAX_ISOLATION_WAIT_S`` only idle ones are yielded.
+    Until it has waited for ``MAX_ISOLATION_WAIT_S`` only idle ones are yielded that do
+    not crash by themselves: an innocent unit would soon be charged again there.
     """
-    yield [c for c in pool if c.free == c.capacity]
+    stable = [c for c in pool if not _is_unstable(c, core, now)]
+    yield [c for c in stable if c.free == c.capacity]
     if awaits_isolation(unit, now):
         return
-    tasks = {c.worker_id: len(workers[c.worker_id].placements) for c in pool}
+    tasks = {c.worker_id: len(core.workers[c.worker_id].placements) for c in pool}
     for most in sorted(set(tasks.values())):
         yield [c for c in pool if tasks[c.worker_id] <= most]
 
 
+def _is_unstable(candidate: Candidate, core: Core, now: float) -> bool:
+    address = core.workers[candidate.worker_id].entry.address
+    return core.restarts.is_unstable(address, now)
+
+
 def awaits_isolation(unit: Unit, now: float) -> bool:
     """Return whether a suspected unit is still to wait for idle workers."""
     return is_suspect(unit) and now - unit.waiting_since < MAX_ISOLATION_WAIT_S
--- a/src/firladder/_internal/engine/losses.py
+++ b/src/firladder/_internal/engine/losses.py
@@ -30,6 +30,7 @@
             return
         self.speeds.forget_worker(worker_id)
         self._note_loss(worker, reason, now)
+        self.restarts.forget_holder(worker.entry)
         if not worker.loss_is_explained:
             self._charge_crash(worker, now)
         for placement in list(worker.placements.values()):
@@ -107,15 +108,24 @@
         """Charge a worker's crash to the tasks that may have caused it."""
         ran = [p for p in worker.placements.values() if p.may_have_run]
         ran += worker.lapsed
-        alone = len({p.task.job_id for p in ran}) == 1
+        jobs = {p.task.job_id for p in ran}
+        address = worker.entry.address
+        unstable = {
+            job_id
+            for job_id in jobs
+            if self.restarts.is_unstable(address, now, without=job_id)
+        }
+        self.restarts.record(address, jobs, now)
         crashed_at = now if worker.closed_at is None else worker.closed_at
         for placement in ran:
             unit = self._find_unit_of(placement)
             if unit is None or unit.job.terminal or unit.state is UnitState.DONE:
                 continue
-            prompt = is_prompt(placement, unit, crashed_at)
+            stable = placement.task.job_id not in unstable
+            sole = stable and len(jobs) == 1
+            prompt = stable and is_prompt(placement, unit, crashed_at)
             if may_be_charged(unit, prompt=prompt):
-                crash = Crash(placement.run, placement.task.index, alone, prompt)
+                crash = Crash(placement.run, placement.task.index, sole, prompt)
                 self._record_crash(unit, crash, worker)
 
     def _find_unit_of(self, placement: Placement) -> Unit | None:
@@ -134,7 +144,7 @@
             index=crash.index,
             run=crash.run,
             worker=worker.worker_id,
-            alone=crash.alone,
+            sole=crash.sole,
             prompt=crash.prompt,
             crashes=sum(c.index == crash.index for c in unit.crashes),
         )
@@ -142,6 +152,7 @@
         if is_newest and uses_up_crashes(unit):
             # The rest of a gang may take a while to stop; the outcome is certain now.
             unit.state = UnitState.FAILED
+            self.restarts.forget_job(unit.job.accepted.job_id)
             self._end_job(unit.job, JobState.FAILED)
         else:
             self._check_attempts(unit)
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -333,7 +333,7 @@
         self, unit: Unit, pool: Sequence[Candidate], now: float, demand: Demand
     ) -> list[str] | None:
         """Return workers for a unit that may crash them, if possible idle ones."""
-        for option in list_apart(unit, pool, self._core.workers, now):
+        for option in list_apart(unit, pool, self._core, now):
             if demand.one_rack and not fits_one_rack(unit.step, demand.count, option):
                 continue
             found = self._place_within(unit, option, now, demand)
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -38,8 +38,18 @@
                 self.lose_worker(
                     other.worker_id, "address taken by another worker", now=now
                 )
+        self._replace_holder(entry, now)
         return worker
 
+    def _replace_holder(self, entry: WorkerEntry, now: float) -> None:
+        """Record the crash of an idle worker, of which nothing else tells."""
+        former = self.restarts.replace_holder(entry)
+        if former is None or former.draining:
+            return
+        worker = self.workers.get(former.worker_id)
+        if worker is None or not (worker.placements or worker.lapsed):
+            self.restarts.record(entry.address, (), now)
+
     def unregister_worker(self, worker_id: str) -> None:
         """Mark a worker whose entry is gone; its runs may still be active."""
         worker = self.workers.get(worker_id)
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -18,6 +18,7 @@
 from ..models.order import Ending, StartOrder, StopOrder
 from ..models.workload import QueueConfiguration, Resources
 from .crashes import uses_up_crashes
+from .restarts import Restarts
 from .speeds import Speeds
 from .state import Job, JobState, Phase, Placement, Unit, UnitState, Worker
 
@@ -83,6 +84,7 @@
         self.stops: list[Placement] = []
         self.run_times: dict[tuple[str, int], float] = {}
         self.speeds = Speeds()
+        self.restarts = Restarts()
         self.early_cancels: set[str] = set()
         self.evacuated: frozenset[str] = frozenset()
         self._planned: list[Placement] = []
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -51,12 +51,13 @@
 class Crash(msgspec.Struct, frozen=True, array_like=True):
     """The crash of a worker on which a task ran.
 
-    ``alone``: no other job ran there; ``prompt``: the task had only just begun.
+    ``sole``: no other job ran there; ``prompt``: the task had only just begun. Both are
+    false if the worker crashes by itself.
     """
 
     run: int
     index: int
-    alone: bool
+    sole: bool
     prompt: bool
 
 
