Suspect a unit by the signs against it, not by the number of losses

A unit is suspected after a prompt crash, two of workers that only its job used, or three in all. The crashes that a given-up job caused are forgotten also if it was given up later.

A metric counts the core's decisions by name, so that charged crashes show without the log.

--- a/src/firladder/_internal/engine/isolation.py
+++ b/src/firladder/_internal/engine/isolation.py
@@ -10,6 +10,12 @@
 """Seconds for which a suspected unit waits for idle workers. It may be innocent, and
 there may never be any."""
 
+SUSPECT_AFTER_SOLE = 2
+"""Crashes of workers that only its job used, from which a unit is suspected."""
+
+SUSPECT_AFTER = 3
+"""The same for any crashes: at the next one it is given up."""
+
 PROBATION_S = 2.0
 """Seconds after its start for which a unit under which workers crashed promptly keeps
 its workers to itself; twice the longest time that a prompt crash takes."""
@@ -18,9 +24,16 @@
 def is_suspect(unit: Unit) -> bool:
     """Return whether a unit may crash its next worker.
 
-    One crash in the middle of a run says little: whatever else ran there saw it too.
+    A crash that was not prompt says little, and less if other jobs ran there. Workers
+    that crash by themselves would otherwise keep whole workers for each of their tasks.
     """
-    return any(c.prompt for c in unit.crashes) or len({c.run for c in unit.crashes}) > 1
+    if any(c.prompt for c in unit.crashes):
+        return True
+    sole_runs = {c.run for c in unit.crashes if c.sole}
+    return (
+        len(sole_runs) >= SUSPECT_AFTER_SOLE
+        or len({c.run for c in unit.crashes}) >= SUSPECT_AFTER
+    )
 
 
 def is_on_probation(worker: Worker, now: float) -> bool:
--- a/src/firladder/_internal/engine/losses.py
+++ b/src/firladder/_internal/engine/losses.py
@@ -152,7 +152,8 @@
         if is_newest and uses_up_crashes(unit):
             # The rest of a gang may take a while to stop; the outcome is certain now.
             unit.state = UnitState.FAILED
-            self.restarts.forget_job(unit.job.accepted.job_id)
             self._end_job(unit.job, JobState.FAILED)
         else:
             self._check_attempts(unit)
+        if unit.job.state is JobState.FAILED:
+            self.restarts.forget_job(unit.job.accepted.job_id)
--- a/src/firladder/_internal/node/metrics.py
+++ b/src/firladder/_internal/node/metrics.py
@@ -68,6 +68,10 @@
         self.worker_calls = self._gauge(
             "firladder_worker_calls_total", "Calls made to workers in this term"
         )
+        self.decisions = self._gauge(
+            "firladder_core_decisions_total",
+            "Decisions of the scheduling core in this term, by what was decided",
+        )
         self.order_waits = Histogram(
             "firladder_order_wait_seconds",
             "Time that an order waits for others to the same worker, by kind",
@@ -120,6 +124,8 @@
         open_jobs = [j for j in term.core.jobs.values() if not j.terminal]
         self.jobs.set({}, len(open_jobs))
         self.worker_calls.set({}, term.calls.calls)
+        for what, count in term.decisions.items():
+            self.decisions.set({"what": what}, count)
         for domain in term.core.evacuated:
             count = sum(
                 len(w.placements)
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
@@ -122,6 +123,7 @@
         self._entry_revisions: dict[str, int] = {}
         self.ready = False
         self.passes = 0
+        self.decisions: Counter[str] = Counter()
         self._progress_writer = ProgressWriter(
             core=self.core,
             store=store,
@@ -458,6 +460,7 @@
             )
 
     def _record_decision(self, what: str, **inputs: object) -> None:
+        self.decisions[what] += 1
         self._timeline.record(
             Event.CORE_DECIDED, priority=what in PRIORITY_DECISIONS, what=what, **inputs
         )
