Forget a closed connection once the worker answers again

A worker that closed a connection, answered again and crashed seconds later was charged as if it had crashed when it closed that connection: before the task had begun, so promptly.

--- a/features/engine_crashes.feature
+++ b/features/engine_crashes.feature
@@ -21,6 +21,7 @@
       | the worker has crashed twice without "a" | 0.5     | crashes                  | no   | no     |
       | the worker has drained and come back     | 0.5     | crashes                  | yes  | yes    |
       | the crash comes before the answer        | 0       | crashes                  | yes  | yes    |
+      | nothing else                             | 0.5     | closes and crashes later | yes  | no     |
 
   Scenario Outline: A loss that is no crash is charged to nobody
     Guards against counting workers that leave, are cut off, or never began the task.
--- a/features/steps/engine_crashes_steps.py
+++ b/features/steps/engine_crashes_steps.py
@@ -145,11 +145,21 @@
     world.crash()
 
 
-def answer_between(world):
+def close_and_answer(world):
     world.close()
     placement = world.find_placement("a")
     world.now += 0.1
     world.report(world.worker, [RunningTask(placement.task, placement.run, "", 10)])
+
+
+def crash_later(world):
+    close_and_answer(world)
+    world.now += LONG_AGO_S
+    world.replace()
+
+
+def answer_between(world):
+    close_and_answer(world)
     world.now += 1.0
     world.fall_silent()
     world.replace()
@@ -172,6 +182,7 @@
 
 LOSSES = {
     "crashes": CrashWorld.crash,
+    "closes and crashes later": crash_later,
     "drains and is replaced": drain_and_leave,
     "is silent and is replaced": fall_silent_and_leave,
     "is silent for 4 s, then refuses, and is replaced": refuse_after_silence,
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -90,6 +90,7 @@
 
     def _mark_reachable(self, worker: Worker) -> None:
         worker.exempt = False
+        worker.closed_at = None
         worker.lapsed.clear()
         if not worker.reachable:
             worker.reachable = True
