--- a/features/engine_capacity.feature
+++ b/features/engine_capacity.feature
@@ -70,3 +70,10 @@
       | 4000   | 1    |
       | 4000   | 2    |
       | 4000   | 3    |
+
+  Scenario: A leader follows what a worker says of its capacity
+    Guards against a change of the entry in the store that never reaches the plan.
+    Given a leader of 2 workers, and jobs of 2 accelerators for 3 s each 0.35 s
+    When one worker shrinks to 3 accelerators for 10 s
+    Then no start brings it over 3 accelerators meanwhile
+    And it holds more than 3 accelerators later, and each job is done
--- a/features/steps/engine_capacity_steps.py
+++ b/features/steps/engine_capacity_steps.py
@@ -1,3 +1,4 @@
+import asyncio
 import dataclasses
 import random
 
@@ -5,12 +6,13 @@
 
 from features.support.engine_chaos import Chaos
 from features.support.engine_world import EngineWorld, make_job, make_step
+from features.support.gang_faults import GangPlay
 from firladder._internal.engine.state import Phase
 from firladder._internal.models.order import EndedTask, RunningTask
 from firladder._internal.models.workload import Resources
 
 FIRST, SECOND = "w0", "w1"
-FULL = "full"
+NOTICED_WITHIN_S = 0.5
 
 
 class CapacityWorld(EngineWorld):
@@ -230,3 +232,60 @@
 def check_chaos(context):
     assert not context.chaos.problems, context.chaos.problems[:3]
     assert context.chaos.finished > 20, context.chaos.finished
+
+
+@given(
+    "a leader of {workers:d} workers, and jobs of {need:d} accelerators for {takes:d} s"
+    " each {gap:f} s"
+)
+def prepare_play(context, workers, need, takes, gap):
+    async def submit(play):
+        for number in range(int(30 / gap)):
+            play.submit(f"job-{number}", count=1, need=need, gang=False)
+            await asyncio.sleep(gap)
+
+    context.need = need
+    context.submit_jobs = submit
+    context.play = GangPlay(workers, takes_s=takes)
+
+
+@when("one worker shrinks to {accelerators:d} accelerators for {seconds:d} s")
+def shrink_for(context, accelerators, seconds):
+    async def script(play):
+        play.spawn(context.submit_jobs(play))
+        await asyncio.sleep(8.0)
+        context.shrunk_at = play.now
+        play.machines[0].resize(accelerators)
+        play.write_entry(play.machines[0])
+        await asyncio.sleep(seconds)
+        context.grown_at = play.now
+        play.machines[0].resize(8)
+        play.write_entry(play.machines[0])
+
+    context.play.play(script, seconds=60.0)
+
+
+def list_use(context, since, until):
+    """Return what the worker held after each start there between two times."""
+    members = [m for m in context.play.members if m.machine.number == 0]
+    return [
+        context.need
+        * sum(m.started_at <= at < (m.ended_at or float("inf")) for m in members)
+        for at in (m.started_at for m in members)
+        if since <= at < until
+    ]
+
+
+@then("no start brings it over {accelerators:d} accelerators meanwhile")
+def check_meanwhile(context, accelerators):
+    since = context.shrunk_at + NOTICED_WITHIN_S
+    use = list_use(context, since, context.grown_at)
+    assert use, "nothing started there"
+    assert max(use) <= accelerators, use
+
+
+@then("it holds more than {accelerators:d} accelerators later, and each job is done")
+def check_later(context, accelerators):
+    use = list_use(context, context.grown_at, float("inf"))
+    assert max(use) > accelerators, use
+    assert set(context.play.jobs) == set(context.play.done_at)
--- a/features/support/gang_faults.py
+++ b/features/support/gang_faults.py
@@ -106,6 +106,11 @@
     def entry(self):
         return dataclasses.replace(self._entry, worker_id=self.worker_id)
 
+    def resize(self, accelerators: int) -> None:
+        """Change the capacity that the next entry tells."""
+        capacity = dataclasses.replace(self._entry.capacity, accelerators=accelerators)
+        self._entry = dataclasses.replace(self._entry, capacity=capacity)
+
     def restart(self) -> None:
         """Begin a new incarnation; the runs of the former one are gone."""
         self.down = False
