--- a/standins/platform.py
+++ b/standins/platform.py
@@ -15,7 +15,7 @@
 )
 
 from .platform_store import MemoryStore, StoreApp, routes
-from .platform_workers import HEARTBEAT_S, Ledger, Worker
+from .platform_workers import HEARTBEAT_S, Ledger, Worker, WorkerFaults
 from .process import run_standin
 
 MAX_BODY_BYTES = 2 * 1024 * 1024
@@ -56,6 +56,14 @@
     )
 
 
+@routes.route("POST", "/worker-faults/{number}")
+async def set_worker_faults(app: PlatformApp, call: HttpCall) -> HttpReply:
+    """Replace the faults of a worker, which may be down."""
+    worker = app.ledger.workers[int(call.params["number"])]
+    worker.faults = msgspec.json.decode(call.body, type=WorkerFaults)
+    return reply_json({})
+
+
 async def send_heartbeats(store: MemoryStore, worker: Worker) -> None:
     """Register a worker at the start and then every 30 heartbeats, unless silent.
 
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -186,7 +186,7 @@
 
     def set_worker_faults(self, number: int, **faults: Any) -> None:
         """Replace a worker's faults; those not given are off."""
-        call(self.workers[number], "POST", "/faults", faults)
+        call(self.store, "POST", f"/worker-faults/{number}", faults)
 
     def is_ready(self, ip: str) -> bool:
         """Return whether a node reports that it is ready for new connections."""
--- a/standins/platform_workers.py
+++ b/standins/platform_workers.py
@@ -353,10 +353,3 @@
     if run.running_since is None:
         return 0
     return min(99, int(100 * (now - run.running_since) / max(run.run_time_s, 0.001)))
-
-
-@routes.route("POST", "/faults")
-async def set_faults(worker: Worker, call: HttpCall) -> HttpReply:
-    """Replace the faults to inject."""
-    worker.faults = msgspec.json.decode(call.body, type=WorkerFaults)
-    return reply_json({})
