Give up the likeliest cause of a crash first

One crash may bring its cause and a job that shared the worker to their limits in the same moment. Whichever was charged first was given up; the other would have been cleared.

--- a/features/engine_crashes.feature
+++ b/features/engine_crashes.feature
@@ -85,3 +85,12 @@
     And both run there for 5 s again and the worker crashes
     And both are planned again, with room for both on each worker
     Then they run on different workers
+
+  Scenario: The cause is given up before the jobs that share its last crash
+    Guards against giving up a job in the same moment in which it would be cleared.
+    Given job "b" runs there too
+    When "b" has as many crashes without signs as it may have but one
+    And "a" has crashes of 1 signs each, 2 of them
+    And both run there and the worker crashes
+    Then the job is shown as "failed"
+    And job "b" goes on
--- a/features/steps/engine_crashes_steps.py
+++ b/features/steps/engine_crashes_steps.py
@@ -5,7 +5,9 @@
 from behave import given, register_type, then, when
 
 from features.support.engine_world import LEASE_S, EngineWorld, make_job, make_step
+from firladder._internal.engine.crashes import MAX_CRASHES
 from firladder._internal.engine.progress import JobProgress, PlacedTask, decode_progress
+from firladder._internal.engine.state import Crash
 from firladder._internal.exceptions import WorkerReplaced
 from firladder._internal.models.order import RunningTask
 
@@ -346,3 +348,39 @@
     newer = msgspec.msgpack.decode(stored, type=JobProgress)
     assert newer.units[0].crashes
     assert (former.state, former.units[0].run) == (newer.state, newer.units[0].run)
+
+
+@when('"b" has as many crashes without signs as it may have but one')
+def charge_other(context):
+    world = context.world
+    run_other(world)
+    placement = world.find_placement("b")
+    world.find_unit("b").crashes = {
+        Crash(-number, 0, f"gone-{number}", sole=False, prompt=False, unstable=False)
+        for number in range(1, MAX_CRASHES[0])
+    }
+    world.end(placement, "stopped")
+
+
+@when("both run there and the worker crashes")
+def crash_with_both(context):
+    world = context.world
+    world.find_unit("b").backoff_until = 0.0
+    placed = {}
+    for name in ("b", "a"):
+        unit = world.find_unit(name)
+        world.core.plan_run(unit, [world.worker.worker_id])
+        placed[name] = unit.placements[0]
+    world.make_durable()
+    world.accept(world.core.take_starts())
+    assert all(p.is_active for p in placed.values())
+    world.now += JUST_BEGUN_S
+    world.crash()
+    world.make_durable()
+
+
+@then('job "b" goes on')
+def check_goes_on(context):
+    world = context.world
+    assert world.core.read_state("b").value == "running"
+    assert len(world.find_unit("b").crashes) == MAX_CRASHES[0] - 1
--- a/src/firladder/_internal/engine/crashes.py
+++ b/src/firladder/_internal/engine/crashes.py
@@ -45,3 +45,8 @@
         for signs, most in MAX_CRASHES.items()
         for count in Counter(c.index for c in unit.crashes if c.signs >= signs).values()
     )
+
+
+def weigh_crashes(unit: Unit) -> int:
+    """Return how strongly its crashes point to a unit, compared with other units."""
+    return sum(1 + c.signs for c in unit.crashes if not c.unstable)
--- a/src/firladder/_internal/engine/losses.py
+++ b/src/firladder/_internal/engine/losses.py
@@ -3,7 +3,7 @@
 import itertools
 
 from ..exceptions import ConnectionClosed, ConnectionRefused, OrderFailure
-from .crashes import is_prompt, may_be_charged, uses_up_crashes
+from .crashes import is_prompt, may_be_charged, uses_up_crashes, weigh_crashes
 from .runs import Runs
 from .state import Crash, JobState, Placement, Unit, UnitState, Worker, find_unit
 
@@ -129,6 +129,7 @@
             if self.restarts.is_unstable(address, now, without=job_id)
         }
         self.restarts.record(address, jobs, now)
+        charged: dict[int, Unit] = {}
         for placement in ran:
             unit = self._find_unit_of(placement)
             if unit is None or unit.job.terminal or unit.state is UnitState.DONE:
@@ -143,6 +144,10 @@
             )
             if may_be_charged(unit, crash):
                 self._record_crash(unit, crash)
+                charged[id(unit)] = unit
+        # The likeliest cause first: the others may be cleared when it is given up.
+        for unit in sorted(charged.values(), key=weigh_crashes, reverse=True):
+            self._give_up_if_due(unit)
 
     def _find_unit_of(self, placement: Placement) -> Unit | None:
         job = self.jobs.get(placement.task.job_id)
@@ -165,15 +170,19 @@
             unstable=crash.unstable,
             crashes=sum(c.index == crash.index for c in unit.crashes),
         )
-        is_newest = crash.run == unit.run and unit.state is UnitState.BUSY
-        if is_newest and uses_up_crashes(unit):
-            # The rest of a gang may take a while to stop; the outcome is certain now.
-            unit.state = UnitState.FAILED
-            self._end_job(unit.job, JobState.FAILED)
-        else:
-            self._check_attempts(unit)
-        if unit.job.state is JobState.FAILED:
-            self._clear_others(unit)
+
+    def _give_up_if_due(self, unit: Unit) -> None:
+        if unit.job.terminal or not uses_up_crashes(unit):
+            return
+        if unit.state is UnitState.BUSY and not any(
+            c.run == unit.run for c in unit.crashes
+        ):
+            # A newer run is at work, and the crash was only known now.
+            return
+        # The rest of a gang may take a while to stop, but the outcome is certain.
+        unit.state = UnitState.FAILED
+        self._end_job(unit.job, JobState.FAILED)
+        self._clear_others(unit)
 
     def _clear_others(self, cause: Unit) -> None:
         """Withdraw the charges for crashes that a given-up unit has caused."""
