Weigh a task's crashes by what it has survived, and bound them in any case

A task that its worker has once listed after more than a second does not crash workers within milliseconds: prompt crashes count no more for it.

A crash that is explained stays in the record now, marked, and a task is given up after five runs that ended with a crash, whatever explains them.

--- a/features/engine_crashes.feature
+++ b/features/engine_crashes.feature
@@ -94,3 +94,13 @@
     And both run there and the worker crashes
     Then the job is shown as "failed"
     And job "b" goes on
+
+  Scenario: A task that has run for longer does not cause prompt crashes
+    Guards against giving up a job that was started again and again beside the cause.
+    When "a" has run 2.1 s before one crash, and just begun before 3 others
+    Then the job is shown as "running"
+
+  Scenario: No task is started without end, whatever explains each of its crashes
+    Guards against a limit that explanations take out of force.
+    When "a" has run 2.1 s before one crash, and just begun before 4 others
+    Then the job is shown as "failed"
--- a/features/node_crashing_tasks.feature
+++ b/features/node_crashing_tasks.feature
@@ -102,6 +102,7 @@
     Examples:
       | seed | what                                                               |
       | 142  | taking a worker for cut off because one poll of it was lost        |
+      | 172  | clearing a task of so many crashes that it is started a sixth time |
       | 209  | giving up a job for crashes that others have caused                |
       | 234  | taking a worker that crashes while it drains for one that has left |
       | 248  | taking a worker for cut off because one poll of it was lost        |
--- a/src/firladder/_internal/engine/crashes.py
+++ b/src/firladder/_internal/engine/crashes.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+import msgspec
+
 from .state import Crash, Placement, Unit
 
 PROMPT_S = 1.0
@@ -15,18 +17,36 @@
 A suspected unit runs alone if there is room. So a sound task meets one that crashes its
 workers twice at most, and is cleared when that one is given up."""
 
+MAX_RUNS_CRASHED = 5
+"""Runs of a task that may end with a crash of the worker, whatever explains it. Without
+such a limit a task is started without end if each crash has another explanation."""
+
 
 def is_prompt(placement: Placement, unit: Unit, crashed_at: float) -> bool:
     """Return whether a worker crashed shortly after a task had begun there.
 
-    The members of a gang begin when the last one has started. A start that was never
-    answered may have begun at any time, most likely just before the crash.
+    A start that was never answered may have begun at any time, most likely just before
+    the crash.
     """
     if not placement.active_at:
         return not placement.recovered
+    return crashed_at - _find_begin(placement, unit) <= PROMPT_S
+
+
+def is_late(placement: Placement, unit: Unit) -> bool:
+    """Return whether a task is known to have run for longer than a prompt crash takes.
+
+    When the worker closed its connections says less: it may be noticed late.
+    """
+    if not placement.active_at:
+        return False
+    return placement.listed_at - _find_begin(placement, unit) > PROMPT_S
+
+
+def _find_begin(placement: Placement, unit: Unit) -> float:
+    """Return when a task began; the members of a gang do with the last one."""
     members = [p for p in unit.placements.values() if p.run == placement.run]
-    began_at = max(p.active_at for p in [placement, *members])
-    return crashed_at - began_at <= PROMPT_S
+    return max(p.active_at for p in [placement, *members])
 
 
 def may_be_charged(unit: Unit, crash: Crash) -> bool:
@@ -38,15 +58,35 @@
     return crash.prompt or not unit.step.lasting
 
 
+def list_plausible(unit: Unit, index: int) -> list[Crash]:
+    """Return the crashes that one of a unit's tasks may have caused.
+
+    A task that crashes its workers does so at the same point of each run. One that has
+    run longer did not cause the prompt ones.
+    """
+    crashes = [c for c in unit.crashes if c.index == index and not c.cleared]
+    if any(c.late for c in crashes):
+        return [c for c in crashes if not c.prompt]
+    return crashes
+
+
 def uses_up_crashes(unit: Unit) -> bool:
     """Return whether a task of the unit counts as the cause of its crashes."""
+    indices = Counter(c.index for c in unit.crashes)
+    if max(indices.values(), default=0) >= MAX_RUNS_CRASHED:
+        return True
     return any(
-        count >= most
+        sum(c.signs >= signs for c in list_plausible(unit, index)) >= most
+        for index in indices
         for signs, most in MAX_CRASHES.items()
-        for count in Counter(c.index for c in unit.crashes if c.signs >= signs).values()
     )
 
 
+def clear_crash(crash: Crash) -> Crash:
+    """Return a crash as one that another job has caused."""
+    return msgspec.structs.replace(crash, cleared=True)
+
+
 def weigh_crashes(unit: Unit) -> int:
     """Return how strongly its crashes point to a unit, compared with other units."""
-    return sum(1 + c.signs for c in unit.crashes if not c.unstable)
+    return sum(1 + c.signs for c in unit.crashes if not c.explained)
--- a/src/firladder/_internal/engine/isolation.py
+++ b/src/firladder/_internal/engine/isolation.py
@@ -24,9 +24,9 @@
     Not after one crash late in a run, which says little, and not after those of a
     worker that crashes by itself: each of its tasks would keep a whole worker later.
     """
-    runs = {c.run for c in unit.crashes if not c.unstable}
-    prompt = any(c.prompt and not c.unstable for c in unit.crashes)
-    return prompt or len(runs) >= SUSPECT_AFTER
+    crashes = [c for c in unit.crashes if not c.explained]
+    prompt = any(c.prompt for c in crashes)
+    return prompt or len({c.run for c in crashes}) >= SUSPECT_AFTER
 
 
 def is_on_probation(worker: Worker, now: float) -> bool:
--- a/src/firladder/_internal/engine/losses.py
+++ b/src/firladder/_internal/engine/losses.py
@@ -3,7 +3,14 @@
 import itertools
 
 from ..exceptions import ConnectionClosed, ConnectionRefused, OrderFailure
-from .crashes import is_prompt, may_be_charged, uses_up_crashes, weigh_crashes
+from .crashes import (
+    clear_crash,
+    is_late,
+    is_prompt,
+    may_be_charged,
+    uses_up_crashes,
+    weigh_crashes,
+)
 from .runs import Runs
 from .state import Crash, JobState, Placement, Unit, UnitState, Worker, find_unit
 
@@ -140,6 +147,7 @@
                 worker.worker_id,
                 sole=len(jobs) == 1,
                 prompt=is_prompt(placement, unit, crashed_at),
+                late=is_late(placement, unit),
                 unstable=placement.task.job_id in unstable,
             )
             if may_be_charged(unit, crash):
@@ -167,6 +175,7 @@
             worker=crash.worker_id,
             sole=crash.sole,
             prompt=crash.prompt,
+            late=crash.late,
             unstable=crash.unstable,
             crashes=sum(c.index == crash.index for c in unit.crashes),
         )
@@ -187,10 +196,11 @@
     def _clear_others(self, cause: Unit) -> None:
         """Withdraw the charges for crashes that a given-up unit has caused."""
         self.restarts.forget_job(cause.job.accepted.job_id)
-        workers = {c.worker_id for c in cause.crashes if not c.unstable}
+        workers = {c.worker_id for c in cause.crashes if not c.explained}
         for job in self.jobs.values():
             for unit in job.units:
-                explained = {c for c in unit.crashes if c.worker_id in workers}
-                if explained and unit.job is not cause.job:
-                    unit.crashes -= explained
+                cleared = {c for c in unit.crashes if c.worker_id in workers}
+                if cleared and job is not cause.job:
+                    unit.crashes -= cleared
+                    unit.crashes |= {clear_crash(c) for c in cleared}
                     self._mark_changed(job)
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -126,6 +126,7 @@
     ) -> None:
         unit = placement.unit
         placement.reported = True
+        placement.listed_at = now
         if placement.phase is Phase.SENT:
             self._activate(placement, now)
         elif placement.phase is Phase.RECOVERED and unit is not None:
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -55,7 +55,8 @@
     """The crash of a worker on which a task ran.
 
     ``sole``: no other job ran there; ``prompt``: the task had only just begun;
-    ``unstable``: the worker crashes by itself.
+    ``late``: the worker had listed it when it had run for longer; ``unstable``: the
+    worker crashes by itself; ``cleared``: another job was given up as the cause.
     """
 
     run: int
@@ -63,12 +64,19 @@
     worker_id: str
     sole: bool
     prompt: bool
+    late: bool
     unstable: bool
+    cleared: bool = False
+
+    @property
+    def explained(self) -> bool:
+        """Return whether something else may have caused the crash."""
+        return self.unstable or self.cleared
 
     @property
     def signs(self) -> int:
         """Return how many signs there are that the task caused the crash."""
-        return 0 if self.unstable else self.sole + self.prompt
+        return 0 if self.explained else self.sole + self.prompt
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -87,6 +95,7 @@
     answer, so the answer to another copy cannot prove that the task will not start.
 
     ``recovered`` says that it comes from the record of a former leader.
+    ``listed_at`` is when the worker last listed it as running.
 
     ``first_percent`` is what a task that resumed from a checkpoint showed at first.
     """
@@ -109,6 +118,7 @@
     reported: bool = False
     may_start_late: bool = False
     recovered: bool = False
+    listed_at: float = -math.inf
 
     @property
     def may_have_run(self) -> bool:
--- a/standins/platform_workers.py
+++ b/standins/platform_workers.py
@@ -88,6 +88,7 @@
         """Start empty."""
         self.starts: list[tuple[str, int, str]] = []
         self.done: set[str] = set()
+        self.unproved: set[str] = set()
         self.failed: set[str] = set()
         self.crashes: Counter[str] = Counter()
         self.problems: list[str] = []
@@ -107,7 +108,7 @@
                 self.problems.append(f"{task} run {run} runs twice")
         if self.crashes[task] >= MAX_CRASHED_STARTS:
             self.problems.append(f"{task} run {run} crashes yet another worker")
-        if task in self.done:
+        if task in self.done - self.unproved:
             self.problems.append(f"{task} run {run} started after it was done")
 
     def list_members(self, run: Run) -> list[tuple["Worker", Run]]:
@@ -175,6 +176,8 @@
         for other in list(self.runs):
             if other in self.runs:
                 await self.end(other, "crashed")
+        # Whether these ends were read is not known: their tasks may run again.
+        self.ledger.unproved |= {row[1] for row in self.ended if row[3] == "done"}
         for transport in self.transports:
             transport.abortConnection()
         await self.server.close()
