Do not scan the pool twice for each unit that is placed

The workers that a unit avoids were found once to record a shortage and once more to place it, and each pass looked at all placements for tasks on probation though hardly any unit is ever charged with a crash. Found by reading the change; what it cost was not measured.

Run: engine_crashes, node_crashing_tasks, engine_capacity, engine_waiting_units: 83 passed.

--- a/src/firladder/_internal/engine/core.py
+++ b/src/firladder/_internal/engine/core.py
@@ -20,6 +20,7 @@
         job = self.jobs[accepted.job_id] = build_job(accepted)
         if progress is not None:
             restore_job(job, progress)
+            self.charged |= any(unit.crashes for unit in job.units)
             self._adopt_placements(job, progress)
         if accepted.job_id in self.early_cancels:
             self.cancel_job(accepted.job_id)
--- a/src/firladder/_internal/engine/losses.py
+++ b/src/firladder/_internal/engine/losses.py
@@ -165,6 +165,7 @@
 
     def _record_crash(self, unit: Unit, crash: Crash) -> None:
         unit.crashes.add(crash)
+        self.charged = True
         self._mark_changed(unit.job)
         self.note(
             "crash charged",
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -171,7 +171,7 @@
             quarantined = now < worker.quarantined_until
             if quarantined and worker.entry.pool not in suspect:
                 continue
-            if is_on_probation(worker, now):
+            if self._core.charged and is_on_probation(worker, now):
                 continue
             entry = worker.entry
             pools.setdefault(entry.pool, []).append(
@@ -310,19 +310,24 @@
         if unit.crashes:
             return self._place_apart(unit, pool, now, demand)
         avoided = self._list_avoided(unit, pool, now)
-        found = self._place_within(unit, pool, now, demand)
+        found = self._place_within(unit, pool, now, demand, avoided)
         if found is None:
             self._shortages.record(demand, unit.step, has_exclusions=bool(avoided))
         return found
 
     def _place_within(
-        self, unit: Unit, pool: Sequence[Candidate], now: float, demand: Demand
+        self,
+        unit: Unit,
+        pool: Sequence[Candidate],
+        now: float,
+        demand: Demand,
+        avoided: set[str],
     ) -> list[str] | None:
         return place_unit(
             unit.step,
             demand.count,
             pool,
-            avoided=self._list_avoided(unit, pool, now),
+            avoided=avoided,
             taken=self._count_taken(unit),
             spread_allowed=self._may_spread(unit, now),
             run_time_s=max(0.0, demand.run_time_s),
@@ -336,7 +341,8 @@
         for option in list_apart(unit, pool, self._core, now):
             if demand.one_rack and not fits_one_rack(unit.step, demand.count, option):
                 continue
-            found = self._place_within(unit, option, now, demand)
+            avoided = self._list_avoided(unit, option, now)
+            found = self._place_within(unit, option, now, demand, avoided)
             if found is not None:
                 return found
         return None
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -85,6 +85,8 @@
         self.run_times: dict[tuple[str, int], float] = {}
         self.speeds = Speeds()
         self.restarts = Restarts()
+        self.charged = False
+        """Whether some unit was charged with a crash, which is rare."""
         self.early_cancels: set[str] = set()
         self.evacuated: frozenset[str] = frozenset()
         self._planned: list[Placement] = []
