Probe a store that does not answer before writing to it

While the store answered nothing or reset its connections, each submission still sent it a write.

A node that knows the store to be unreachable now asks with a read, one at a time for all callers, and writes only when that is answered. Callers meanwhile get a definite refusal (503) and when to retry.

platform_cut: the new scenario fails without the change (504 after 2.4 s), passes with it.

--- a/features/platform_cut.feature
+++ b/features/platform_cut.feature
@@ -12,3 +12,14 @@
     When node 1 is reconnected
     Then node 1 is ready again within 2 s
     And the same submission is accepted by node 1, and its job completed once
+
+  Scenario: Submissions are refused, not left unknown, while the store is silent
+    The store answers nothing for some seconds. Guards against sending it a write for
+    each submission: without an answer a caller can only be told that the outcome is
+    unknown, and must not submit its job again.
+    Given nodes in 2 failure domains
+    When the store is silent, and a first submission to each node was not accepted
+    Then node 0 answers a submission within 2.0 s, with a time to retry
+    And node 1 answers a submission within 2.0 s, with a time to retry
+    When node 1 is reconnected
+    Then the same submission is accepted by node 1, and its job completed once
--- a/features/steps/platform_cut_steps.py
+++ b/features/steps/platform_cut_steps.py
@@ -64,9 +64,20 @@
     assert context.response.getheader("Connection", "").lower() == "close"
 
 
+@when("the store is silent, and a first submission to each node was not accepted")
+def silence_store(context):
+    site = context.platform
+    site.set_store_faults(silent=True)
+    context.stopped = None
+    for node in range(len(site.nodes)):
+        path = f"/q1/{uuid.uuid4().hex[:16]}"
+        assert site.ask("POST", path, JOB, node=node)[0] in (503, 504)
+
+
 @when("node {node:d} is reconnected")
 def connect(context, node):
-    context.stopped.process.send_signal(signal.SIGCONT)
+    if context.stopped is not None:
+        context.stopped.process.send_signal(signal.SIGCONT)
     context.platform.set_store_faults()
 
 
--- a/src/firladder/_internal/node/records.py
+++ b/src/firladder/_internal/node/records.py
@@ -20,6 +20,7 @@
 from .fleet import Fleet
 from .keys import CANCELS, JOBS, PROGRESS
 from .partition import PartitionDetector
+from .store_probe import StoreProbe
 
 logger = logging.getLogger(__name__)
 
@@ -35,11 +36,6 @@
 DIRECT_TIMEOUT_S = 0.8
 """Timeout of a direct write, in seconds; a healthy store answers in 4 ms."""
 
-OUTAGE_TIMEOUT_S = 0.3
-"""Timeout of a direct write during a store outage, in seconds. A write sent before the
-store recovered is never answered and must not delay the next one. A slow store takes
-0.25 s."""
-
 MIN_ATTEMPT_TIMEOUT_S = 0.02
 """Minimum seconds left for another attempt: the store answers in some 10 ms. With less
 left, the caller is answered before its deadline instead."""
@@ -84,6 +80,7 @@
         """Write to ``store``, or through peers in ``fleet`` if it is unreachable."""
         self._partition_detector = partition_detector
         self._store = store
+        self._probe = StoreProbe(store)
         self._fleet = fleet
         self._clock = clock
 
@@ -123,9 +120,8 @@
         self, key: str, value: bytes, *, relay: bool, left_s: float
     ) -> Outcome:
         if not relay:
-            usual_s = DIRECT_TIMEOUT_S if self._store.reachable else OUTAGE_TIMEOUT_S
             return await self.create_directly(
-                key, value, timeout_s=min(usual_s, left_s)
+                key, value, timeout_s=min(DIRECT_TIMEOUT_S, left_s)
             )
         helper = self._fleet.find_store_helper()
         if helper is None:
@@ -143,7 +139,13 @@
     async def create_directly(
         self, key: str, value: bytes, *, timeout_s: float
     ) -> Outcome:
-        """Create a record in the store without the help of a peer."""
+        """Create a record in the store without the help of a peer.
+
+        During an outage nothing is written: after a write without an answer the caller
+        could not be told that it may safely retry.
+        """
+        if not await self._probe.answers():
+            return "not_stored"
         result = await self._store.commit(
             expected=[(key, 0)],
             writes=[Write(key, value)],
