Plan nothing for the workers while no task waits

A pass built its view of all workers four times a second at least, also when nothing waited: 45 ms of a full core with 3,000 workers, a fifth of the leader's processor.

--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -105,6 +105,10 @@
         self._estimates.begin_pass()
         self._shortages.begin_pass()
         self._largest_racks.clear()
+        units = list(self._list_waiting(now, wall))
+        if not units:
+            self._reservations.clear()
+            return 0
         free = {w.worker_id: w.free for w in core.workers.values()}
         candidates = self._list_candidates(free, now)
         open_workers = [w for w in core.workers.values() if not core.is_evacuated(w)]
@@ -113,9 +117,7 @@
             w.rack for w in core.workers.values() if w.rack and core.is_evacuated(w)
         }
         self._racks = collect_racks(core.workers.values())
-        waiting = sorted(
-            self._list_waiting(now, wall), key=lambda unit: self._rank(unit, wall)
-        )
+        waiting = sorted(units, key=lambda unit: self._rank(unit, wall))
         self._reservations.apply(
             waiting,
             itertools.chain.from_iterable(candidates.values()),
--- a/src/firladder/_internal/engine/reservations.py
+++ b/src/firladder/_internal/engine/reservations.py
@@ -48,6 +48,10 @@
         """Add the reservation of a unit."""
         self._reservations[id(unit)] = reservation
 
+    def clear(self) -> None:
+        """Remove all reservations."""
+        self._reservations.clear()
+
     def find(self, unit: Unit) -> Reservation | None:
         """Return a unit's reservation, or None."""
         return self._reservations.get(id(unit))
