Claim a few workers at a time, and wake only the sessions that wait

A new leader polled all workers at once. With 2 ms of processor for a call, the answers of 3,000 workers come up to 6 s later, and none within its timeout of 1.4 s: in the scenario 2,691 of 3,000 workers were never claimed, and none of those that answer when 1,000 others are silent. At most 64 polls to workers that are not claimed or not reachable are now in flight; a turn ends when its answer is overdue, so that silent workers do not hold up the others.

Each durable write woke the sessions of all workers: 35 ms of a full core for a write with 3,000 workers. Only sessions that wait for a record are woken now, 0.35 ms, and the periodic check leaves the sessions of idle workers alone.

--- a/features/support/fake_workers.py
+++ b/features/support/fake_workers.py
@@ -15,7 +15,10 @@
 from firladder._internal.node.link_backlog import LinkBacklog
 from firladder._internal.node.order_window import OrderWindow
 from firladder._internal.node.timeout_estimator import TimeoutEstimator
-from firladder._internal.node.worker_session import WorkerSession
+from firladder._internal.node.worker_session import (
+    MAX_CLAIMS_IN_FLIGHT,
+    WorkerSession,
+)
 
 NO_ANSWER = SentUnanswered(reason="no answer")
 SHORTEST_WAIT_S = 1e-6
@@ -177,6 +180,8 @@
             link_mbps=link_mbps, read_clock=self.clock.read_monotonic
         )
         self.order_window = OrderWindow(backlog=self.backlog, clock=self.clock)
+        self.claim_window = asyncio.Semaphore(MAX_CLAIMS_IN_FLIGHT)
+        self.durability_waiters = set()
         self.may_renew = True
         self.sessions: dict[str, WorkerSession] = {}
         self.order_waits_s: list[float] = []
--- a/src/firladder/_internal/node/order_sender.py
+++ b/src/firladder/_internal/node/order_sender.py
@@ -235,9 +235,11 @@
             if left_s <= 0:
                 return
             self._may_send_lease.clear()
+            self._context.durability_waiters.add(self)
             event = asyncio.ensure_future(self._may_send_lease.wait())
             await asyncio.wait((event,), timeout=left_s)
             event.cancel()
+            self._context.durability_waiters.discard(self)
 
     async def _send_start(
         self, order: Order, deadline_s: float
--- a/src/firladder/_internal/node/session_context.py
+++ b/src/firladder/_internal/node/session_context.py
@@ -13,6 +13,13 @@
 T = TypeVar("T")
 
 
+class Waiter(Protocol):
+    """Something that waits until records are durable."""
+
+    def wake(self) -> None:
+        """Check again whether what is waited for is durable."""
+
+
 class SessionContext(Protocol):
     """The term of leadership that a worker session acts for."""
 
@@ -21,6 +28,8 @@
     clock: Clock
     timeout_estimator: TimeoutEstimator
     order_window: OrderWindow
+    claim_window: asyncio.Semaphore
+    durability_waiters: set[Waiter]
 
     @property
     def may_renew(self) -> bool:
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -37,8 +37,9 @@
 from .prefix_watch import PrefixWatch
 from .progress_writer import ProgressWriter
 from .retention import Retention
+from .session_context import Waiter
 from .timeout_estimator import TimeoutEstimator
-from .worker_session import WorkerSession
+from .worker_session import MAX_CLAIMS_IN_FLIGHT, WorkerSession
 
 logger = logging.getLogger(__name__)
 
@@ -101,6 +102,8 @@
         self.calls = calls
         self.timeout_estimator = TimeoutEstimator()
         self.order_window = OrderWindow(backlog=backlog, clock=clock)
+        self.claim_window = asyncio.Semaphore(MAX_CLAIMS_IN_FLIGHT)
+        self.durability_waiters: set[Waiter] = set()
         self._leader_load = LeaderLoad()
         self._traffic = traffic
         self.clock = clock
@@ -429,8 +432,8 @@
 
     def _on_durable(self) -> None:
         self._dispatch_orders(self.clock.read_monotonic())
-        for session in self._sessions.values():
-            session.wake()
+        for waiter in tuple(self.durability_waiters):
+            waiter.wake()
 
     async def _tick_forever(self) -> None:
         while True:
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -49,6 +49,10 @@
 """Maximum retry pause, in seconds, while runs may be active on the worker. After a
 partition their leases have a second or two left; a later poll finds the gang lost."""
 
+MAX_CLAIMS_IN_FLIGHT = 64
+"""Maximum polls in flight to workers that are not claimed or not reachable. If those of
+thousands of workers left at once, none would be answered within its timeout."""
+
 DURABLE_WAIT_S = 0.25
 """Maximum seconds that a poll is delayed until the ended runs it would acknowledge are
 durable. A worker answers at once while it has unacknowledged ends."""
@@ -75,9 +79,15 @@
             context, worker, poll_now=self._poll_without_wait, wake_session=self.wake
         )
         self._waiting_poll_open = False
+        self._idle = False
 
     def wake(self) -> None:
-        """Let the loops check again whether the worker must be polled."""
+        """Let the loops check again whether the worker must be polled.
+
+        All sessions are woken several times a second, and most have nothing to do.
+        """
+        if self._idle and not (self._needs_poll or self._removed):
+            return
         self._wake.set()
         self._sender.wake()
 
@@ -114,13 +124,15 @@
         while not self._removed:
             if not self._needs_poll:
                 self._wake.clear()
+                self._idle = True
                 await self._wake.wait()
+                self._idle = False
                 continue
             await self._await_durable_ends()
             await self._await_renewal()
             if self._removed:
                 return
-            if await self._poll():
+            if await self._poll_in_turn():
                 pause_s = POLL_RETRY_PAUSE_S
                 continue
             await asyncio.sleep(pause_s)
@@ -134,13 +146,9 @@
             return
         if worker.find_last_durable_end() >= worker.unacknowledged_ends[-1][0]:
             return
-        self._wake.clear()
-        try:
-            await asyncio.wait_for(self._wake.wait(), DURABLE_WAIT_S)
-        except TimeoutError:
-            # The store is slow or unavailable. Poll the worker anyway: its lease
-            # must be renewed, and more runs may have ended.
-            return
+        # If the store is slow or unavailable, the worker is polled anyway: its lease
+        # must be renewed, and more runs may have ended.
+        await self._await_durable()
 
     async def _await_renewal(self) -> None:
         """Wait until a lease may be sent to a worker that was reached again.
@@ -151,9 +159,30 @@
         if not worker.reachable or worker.may_send_lease:
             return
         if leases.needs_renewal(worker, now=now, lease_s=self._core.lease_s):
-            self._wake.clear()
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), DURABLE_WAIT_S)
+            await self._await_durable()
+
+    async def _await_durable(self) -> None:
+        """Wait until records have become durable, for a limited time."""
+        self._wake.clear()
+        self._context.durability_waiters.add(self)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._wake.wait(), DURABLE_WAIT_S)
+        self._context.durability_waiters.discard(self)
+
+    async def _poll_in_turn(self) -> bool:
+        """Poll the worker; if it may not answer, only a few of them at a time.
+
+        The turn ends when the answer is overdue, so that silent workers do not hold up
+        the others.
+        """
+        if self._worker.claimed and self._worker.reachable:
+            return await self._poll()
+        context = self._context
+        async with context.claim_window:
+            poll = context.spawn(self._poll(), name=f"claim-{self._worker.worker_id}")
+            overdue_s = context.timeout_estimator.overdue_s
+            await asyncio.wait((poll,), timeout=overdue_s)
+        return await poll
 
     async def _poll(self, *, may_wait: bool = True) -> bool:
         worker, context = self._worker, self._context
