Limit how long a planning pass blocks the leader

A pass over thousands of waiting tasks took seconds, in which the leader renewed neither its own lease nor those of its workers, and members of gangs waited for their starts. A pass now plans units for 0.1 s, at least one; the next one takes those that did not fit last, so that it comes to the others.

--- a/features/node_passes.feature
+++ b/features/node_passes.feature
@@ -17,3 +17,15 @@
     Given a leader whose planning passes take 0.1 s each
     When something changes once after an idle second
     Then a pass begins within 0.21 s, and within 0.005 s if it is the first
+
+  Scenario Outline: A pass plans for a limited time, and at least one unit
+    Guards against a pass that blocks the leader until its lease has ended, and against
+    one that never comes to its first unit.
+    Given a pass in which each unit takes <unit> s
+    When it plans units while its budget lasts
+    Then it plans <count> units
+
+    Examples:
+      | unit | count |
+      | 0.03 | 4     |
+      | 0.5  | 1     |
--- a/features/steps/node_pass_steps.py
+++ b/features/steps/node_pass_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from features.support.virtual_time import VirtualClock, run_in_virtual_time
-from firladder._internal.node.pass_loop import PassLoop
+from firladder._internal.node.pass_loop import PassBudget, PassLoop
 
 
 @given("a leader whose planning passes take {seconds:f} s each")
@@ -62,3 +62,23 @@
     assert len(context.began) == 2, context.began
     assert context.began[0] - 1.0 <= first, context.began
     assert context.began[1] - context.changed_at <= seconds, context.began
+
+
+@given("a pass in which each unit takes {seconds:f} s")
+def describe_pass(context, seconds):
+    context.unit_s = seconds
+
+
+@when("it plans units while its budget lasts")
+def plan_units(context):
+    clock = VirtualClock()
+    budget = PassBudget(clock=clock)
+    context.units = 0
+    while budget.is_left():
+        context.units += 1
+        clock.now += context.unit_s
+
+
+@then("it plans {count:d} units")
+def check_units(context, count):
+    assert context.units == count, context.units
--- a/src/firladder/_internal/evaluation/day_policies.py
+++ b/src/firladder/_internal/evaluation/day_policies.py
@@ -1,6 +1,6 @@
 """Planners for simulated days: the engine's, variants of it, and baselines."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from ..engine.placement import Candidate
 from ..engine.planning import Planner
@@ -39,10 +39,16 @@
 
     _blocked = False
 
-    def run_pass(self, *, now: float, wall: float) -> int:
+    def run_pass(
+        self,
+        *,
+        now: float,
+        wall: float,
+        may_continue: Callable[[], bool] = lambda: True,
+    ) -> int:
         """Plan a pass that stops at the first unit that cannot be placed."""
         self._blocked = False
-        return super().run_pass(now=now, wall=wall)
+        return super().run_pass(now=now, wall=wall, may_continue=may_continue)
 
     def _place(
         self, unit: Unit, pool: Sequence[Candidate], now: float, demand: Demand
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -33,7 +33,7 @@
 from .leader_load import LeaderLoad
 from .link_backlog import LinkBacklog
 from .order_window import OrderWindow
-from .pass_loop import PassLoop
+from .pass_loop import PassBudget, PassLoop
 from .prefix_watch import PrefixWatch
 from .progress_writer import ProgressWriter
 from .retention import Retention
@@ -415,7 +415,12 @@
     def _plan_once(self) -> None:
         now = self.clock.read_monotonic()
         self.passes += 1
-        self._planner.run_pass(now=now, wall=self.clock.read_wall())
+        budget = PassBudget(clock=self.clock)
+        self._planner.run_pass(
+            now=now, wall=self.clock.read_wall(), may_continue=budget.is_left
+        )
+        if self._planner.interrupted:
+            self.request_pass()
         self._leader_load.record_pass(self.clock.read_monotonic() - now)
         self._progress_writer.wake()
         self._dispatch_orders(now)
