Look through the pool once for a step of single tasks, and at few racks for a gang

The order in which a step's single tasks fill the workers is kept while nothing else is placed, a gang's members are dealt from one ranking instead of a search for each, and racks are tried from the fullest on, only as long as one may be better.

--- a/src/firladder/_internal/engine/placement.py
+++ b/src/firladder/_internal/engine/placement.py
@@ -3,7 +3,9 @@
 import dataclasses
 import itertools
 import math
+import operator
 from collections.abc import Collection, Iterable, Mapping, Sequence
+from typing import NamedTuple
 
 from ..models.workload import Resources, Step
 from .state import Worker
@@ -11,6 +13,9 @@
 UNBOUNDED = 1 << 30
 """A task count that is larger than any worker can hold."""
 
+Rank = tuple[float, int, int, str]
+"""Slowness, accelerators and memory (MB) left, and the id of a worker."""
+
 
 @dataclasses.dataclass(slots=True)
 class Candidate:
@@ -50,7 +55,7 @@
 
 def rank_fit(
     candidate: Candidate, free: Resources, need: Resources, *, fast_first: bool = False
-) -> tuple[float, int, int, str]:
+) -> Rank:
     """Rank a worker with ``free`` capacity for a task; the lowest rank is the best.
 
     This is best fit: with tasks of 1 and of 8 accelerators, small tasks go where they
@@ -80,13 +85,15 @@
     Workers are excluded by the step's label, by earlier failures there (``avoided``),
     and by gangs that wait for them.
     """
+    label, need = step.label, step.need
+    # This runs for each worker and each unit that is placed.
     return [
         c
         for c in candidates
-        if (not step.label or step.label in c.labels)
-        and c.worker_id not in avoided
-        and run_time_s <= c.backfill_window_s
-        and c.capacity.covers(step.need)
+        if run_time_s <= c.backfill_window_s
+        and c.capacity.covers(need)
+        and (not label or label in c.labels)
+        and not (avoided and c.worker_id in avoided)
     ]
 
 
@@ -117,8 +124,8 @@
 
 def group_by_rack(candidates: Sequence[Candidate]) -> list[list[Candidate]]:
     """Return the workers grouped by rack."""
-    ordered = sorted(candidates, key=lambda c: (c.rack, c.worker_id))
-    grouped = itertools.groupby(ordered, key=lambda c: c.rack)
+    ordered = sorted(candidates, key=operator.attrgetter("rack", "worker_id"))
+    grouped = itertools.groupby(ordered, key=operator.attrgetter("rack"))
     return [list(group) for _, group in grouped]
 
 
@@ -126,7 +133,7 @@
     step: Step,
     count: int,
     candidates: Sequence[Candidate],
-    taken: dict[str, int],
+    taken: Mapping[str, int],
     *,
     fast_first: bool = False,
 ) -> list[str] | None:
@@ -134,88 +141,85 @@
 
     ``taken`` maps workers to the number of the step's tasks that they already have.
     """
-    if not _may_fit(step, count, candidates):
+    fits = _list_fits(step, count, candidates, taken, fast_first=fast_first)
+    if sum(fit.tasks for fit in fits) < count:
         return None
-    left: dict[str, Resources] = {}
-    used = dict(taken)
-    chosen: list[str] = []
-    current: Candidate | None = None
-    for _ in range(count):
-        if current is None or not _accepts(step, current, left, used):
-            current = _find_best_fit(step, candidates, left, used, fast_first)
-            if current is None:
-                return None
-        worker_id = current.worker_id
-        chosen.append(worker_id)
-        left[worker_id] = left.get(worker_id, current.free) - step.need
-        used[worker_id] = used.get(worker_id, 0) + 1
-    return chosen
-
-
-def _may_fit(step: Step, count: int, candidates: Iterable[Candidate]) -> bool:
-    """Return False if the tasks certainly do not fit: a quick check for full pools."""
-    if step.need == Resources():
-        return True
-    fitting = 0
-    for candidate in candidates:
-        fitting += count_fitting(candidate.free, step.need)
-        if fitting >= count:
-            return True
-    return False
+    # A worker that has got a task has even less free capacity than before, so it is
+    # the best fit until it is full.
+    fits.sort(key=_get_rank)
+    slots = itertools.chain.from_iterable(
+        itertools.repeat(fit.rank[-1], fit.tasks) for fit in fits
+    )
+    return list(itertools.islice(slots, count))
+
+
+class _Fit(NamedTuple):
+    """How many tasks a worker takes, and its rank for them."""
 
+    rank: Rank
+    tasks: int
+    candidate: Candidate
 
-def _find_best_fit(
+
+_get_rank = operator.attrgetter("rank")
+
+
+def _list_fits(
     step: Step,
+    count: int,
     candidates: Iterable[Candidate],
-    left: Mapping[str, Resources],
-    used: Mapping[str, int],
+    taken: Mapping[str, int],
+    *,
     fast_first: bool,
-) -> Candidate | None:
-    """Return the worker of the lowest rank that takes another task of the step."""
-    best: Candidate | None = None
-    best_rank: tuple[float, int, int, str] | None = None
-    # This runs for each worker and each task that is placed: a fleet of 3,000 has
-    # hundreds of millions of such checks in a minute.
-    cpu_milli, memory_mb = step.need.cpu_milli, step.need.memory_mb
-    accelerators, limit = step.need.accelerators, step.most_per_worker
+) -> list[_Fit]:
+    """Return the workers that take at least one of the step's tasks."""
+    need, limit = step.need, step.most_per_worker
+    anywhere = need == Resources()
+    fits = []
+    # This runs for each worker and each unit that is placed.
     for candidate in candidates:
-        worker_id = candidate.worker_id
-        free = left.get(worker_id, candidate.free)
-        if (
-            free.accelerators < accelerators
-            or free.memory_mb < memory_mb
-            or free.cpu_milli < cpu_milli
-            or (limit and used.get(worker_id, 0) >= limit)
-        ):
+        free = candidate.free
+        if not free.covers(need):
             continue
-        rank = rank_fit(candidate, free, step.need, fast_first=fast_first)
-        if best_rank is None or rank < best_rank:
-            best, best_rank = candidate, rank
-    return best
+        fitting = count if anywhere else count_fitting(free, need)
+        if limit:
+            fitting = min(fitting, limit - taken.get(candidate.worker_id, 0))
+        if fitting > 0:
+            rank = rank_fit(candidate, free, need, fast_first=fast_first)
+            fits.append(_Fit(rank, fitting, candidate))
+    return fits
 
 
-def _accepts(
-    step: Step,
-    candidate: Candidate,
-    left: Mapping[str, Resources],
-    used: Mapping[str, int],
+def takes_another(
+    step: Step, candidate: Candidate, taken: Mapping[str, int], *, run_time_s: float
 ) -> bool:
-    worker_id = candidate.worker_id
-    if step.most_per_worker and used.get(worker_id, 0) >= step.most_per_worker:
+    """Return whether a worker takes one more of the step's tasks."""
+    limit = step.most_per_worker
+    if limit and taken.get(candidate.worker_id, 0) >= limit:
+        return False
+    if run_time_s > candidate.backfill_window_s:
         return False
-    return left.get(worker_id, candidate.free).covers(step.need)
+    return candidate.free.covers(step.need)
 
 
-def takes_another(
-    step: Step, candidate: Candidate, taken: Mapping[str, int], *, run_time_s: float
-) -> bool:
-    """Return whether the worker that got the step's last task takes one more.
+def order_by_fit(
+    step: Step,
+    candidates: Sequence[Candidate],
+    taken: Mapping[str, int],
+    *,
+    run_time_s: float,
+    fast_first: bool,
+) -> list[Candidate]:
+    """Return the workers for single tasks of a step, in the order to fill them.
 
-    It is then the best fit again: it has even less free capacity than before.
+    If the step has a rack, only workers there are returned.
     """
-    if run_time_s > candidate.backfill_window_s:
-        return False
-    return _accepts(step, candidate, {}, taken)
+    suitable = list_suitable(step, candidates, (), run_time_s=run_time_s)
+    if step.rack:
+        suitable = [c for c in suitable if c.rack == step.rack]
+    fits = _list_fits(step, 1, suitable, taken, fast_first=fast_first)
+    fits.sort(key=_get_rank)
+    return [fit.candidate for fit in fits]
 
 
 def place_unit(
@@ -244,23 +248,52 @@
         if found is not None or not spread_allowed:
             return found
     if step.one_rack and count > 1:
-        options = [
-            (
-                _find_gang_slowness(rack, found) if fast_first else 1.0,
-                sum(c.free.accelerators for c in rack),
-                found,
-            )
-            for rack in group_by_rack(suitable)
-            if (found := assign_tasks(step, count, rack, held, fast_first=fast_first))
-            is not None
-        ]
-        if options:
-            return min(options)[2]
+        found = _choose_rack(step, count, suitable, held, fast_first=fast_first)
+        if found is not None:
+            return found
         if not spread_allowed and fits_one_rack(step, count, candidates):
             return None
     return assign_tasks(step, count, suitable, held, fast_first=fast_first)
 
 
+def _choose_rack(
+    step: Step,
+    count: int,
+    candidates: Sequence[Candidate],
+    taken: Mapping[str, int],
+    *,
+    fast_first: bool,
+) -> list[str] | None:
+    """Return a gang's workers on the rack with the least that suffices.
+
+    With ``fast_first`` the slowness of the gang's slowest worker goes before that.
+    Racks are tried from the least on, and only as long as one may be better.
+    """
+    needed = count * step.need.accelerators
+    racks = [
+        (
+            min(round(c.slowness, 1) for c in rack) if fast_first else 1.0,
+            sum(c.free.accelerators for c in rack),
+            number,
+            rack,
+        )
+        for number, rack in enumerate(group_by_rack(candidates))
+        # Workers on which more is reserved than free have less than nothing.
+        if sum(max(0, c.free.accelerators) for c in rack) >= needed
+    ]
+    best: tuple[float, int, list[str]] | None = None
+    for least_slowness, free, _, rack in sorted(racks):
+        if best is not None and (least_slowness, free) > best[:2]:
+            break
+        found = assign_tasks(step, count, rack, taken, fast_first=fast_first)
+        if found is None:
+            continue
+        slowness = _find_gang_slowness(rack, found) if fast_first else 1.0
+        row = (slowness, free, found)
+        best = row if best is None else min(best, row)
+    return None if best is None else best[2]
+
+
 def _find_gang_slowness(rack: Sequence[Candidate], chosen: Sequence[str]) -> float:
     """Return the slowness of the slowest chosen worker, which determines a gang's."""
     return max(round(c.slowness, 1) for c in rack if c.worker_id in chosen)
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+from collections import deque
 from collections.abc import Callable, Iterator, Sequence
 
 from ..models.workload import Queue, Resources
@@ -19,6 +20,7 @@
     Candidate,
     fits_one_rack,
     list_suitable,
+    order_by_fit,
     place_unit,
     takes_another,
 )
@@ -97,7 +99,7 @@
         self._queues: dict[str, Queue] = {}
         self._shortages = Shortages()
         self._view = PoolView(core, now=0.0)
-        self._last_single: tuple[StepKey, Candidate] | None = None
+        self._filling: tuple[StepKey, deque[Candidate]] | None = None
         self._tried: set[int] = set()
         self.next_due_s: float | None = None
         self.interrupted = False
@@ -125,7 +127,7 @@
             self._end_pass(interrupted=False)
             return 0
         view = self._view = PoolView(core, now)
-        self._last_single = None
+        self._filling = None
         waiting = sorted(
             units, key=lambda unit: (id(unit) in self._tried, *self._rank(unit, wall))
         )
@@ -289,9 +291,9 @@
     def _place(
         self, unit: Unit, pool: Sequence[Candidate], now: float, demand: Demand
     ) -> list[str] | None:
-        same = self._find_same_worker(unit, demand)
-        if same is not None:
-            return [same.worker_id]
+        single = self._place_single(unit, pool, demand)
+        if single is not None:
+            return [single]
         if demand.run_time_s == ANY_WORKER_S:
             pool = [dataclasses.replace(c, backfill_window_s=math.inf) for c in pool]
         if unit.crashes:
@@ -302,22 +304,32 @@
             self._shortages.record(demand, unit.step, has_exclusions=bool(avoided))
         return found
 
-    def _find_same_worker(self, unit: Unit, demand: Demand) -> Candidate | None:
-        """Return the worker of the step's last task if it takes one more.
+    def _place_single(
+        self, unit: Unit, pool: Sequence[Candidate], demand: Demand
+    ) -> str | None:
+        """Return the worker for a single task, or None if that is not quickly found.
 
-        A step of dozens of single tasks would otherwise look through the whole pool
-        for each of them.
+        The order in which a step's tasks fill the workers is kept: a step of dozens
+        of tasks would otherwise look through the whole pool for each of them.
         """
-        if self._last_single is None or unit.avoided or unit.crashes:
+        if len(unit.indices) > 1 or unit.avoided or unit.crashes:
             return None
-        step_key, candidate = self._last_single
-        if step_key != _name_step(unit) or len(unit.indices) > 1:
-            return None
-        taken = self._count_taken(unit)
-        run_time_s = demand.run_time_s
-        if not takes_another(unit.step, candidate, taken, run_time_s=run_time_s):
-            return None
-        return candidate
+        step, taken, run_time_s = unit.step, self._count_taken(unit), demand.run_time_s
+        if self._filling is None or self._filling[0] != _name_step(unit):
+            fits = order_by_fit(
+                step,
+                pool,
+                taken,
+                run_time_s=run_time_s,
+                fast_first=unit.job.accepted.priority == 0,
+            )
+            self._filling = _name_step(unit), deque(fits)
+        fits_left = self._filling[1]
+        while fits_left:
+            if takes_another(step, fits_left[0], taken, run_time_s=run_time_s):
+                return fits_left[0].worker_id
+            fits_left.popleft()
+        return None
 
     def _place_within(
         self,
@@ -390,8 +402,8 @@
         for worker_id in workers:
             candidate = self._view.by_id[worker_id]
             candidate.free = Resources() if apart else candidate.free - unit.step.need
-        single = len(workers) == 1 and not unit.avoided and not unit.crashes
-        self._last_single = (_name_step(unit), candidate) if single else None
+        if self._filling is not None and self._filling[0] != _name_step(unit):
+            self._filling = None
         self._core.plan_run(unit, workers)
         self._estimates.invalidate(unit)
 
@@ -438,7 +450,7 @@
         for worker_id in found.workers:
             candidate = self._view.by_id[worker_id]
             candidate.free = candidate.free - unit.step.need
-        self._last_single = None
+        self._filling = None
         return True
 
     def _must_reclaim(self, unit: Unit, now: float) -> bool:
