Send requests again to a target that was slow for a moment

requests_leaving failed in 3 of 12 runs beside other load, in its background step: a gateway sent nothing to the first target for 60 s. It was taken for a hang, as the step waits so long for each gateway in each scenario; a dump of all threads of such a run shows callers in ordinary waits of at most 30 s, and the step in its own.

The cause is the routing. With two requests in flight, the target with the highest average latency loses to any other, so that its latency is never measured again. One answer that a busy machine delayed is enough, if it is not slow enough (three times the median) for the target to be paused and probed. Of 400 requests to 4 targets of 20 ms, one of which had answered once in 50 ms, that one got none.

The latency of a target now fades while it is not measured (half in a second, to half of the median at least), and an answer counts the more the older the average is.

--- a/features/requests_load.feature
+++ b/features/requests_load.feature
@@ -85,3 +85,11 @@
 
     When each of 1000 requests fails at every send
     Then at most 130 retries were sent, at different times
+
+  Scenario: A target that was slow for a moment gets requests again
+    One answer took twice as long as those of the other targets, too little to pause
+    the target. Guards against a latency that is never measured again: with few
+    requests in flight the other targets were preferred for ever.
+    Given 4 targets with a latency of 0.02 s, of which one answered in 0.05 s
+    When 400 requests are routed, one after the other, within 8.0 s
+    Then that target gets at least 20 of them
--- a/features/steps/requests_load_steps.py
+++ b/features/steps/requests_load_steps.py
@@ -1,6 +1,6 @@
 import random
 
-from behave import then, when
+from behave import given, then, when
 
 from firladder._internal.evaluation.request_report import (
     find_quantile,
@@ -9,8 +9,13 @@
 )
 from firladder._internal.policies.dispatching import ServiceQueues, find_policies
 from firladder._internal.policies.queueing import UrgencyQueue
-from firladder._internal.policies.request_views import WaitingRequest
+from firladder._internal.policies.request_views import TargetView, WaitingRequest
 from firladder._internal.policies.retrying import RetryBudget
+from firladder._internal.policies.routing import (
+    TargetStats,
+    find_typical_latency,
+    route_two_choices,
+)
 from firladder._internal.policies.selectors import Selector
 from firladder._internal.policies.sharing import share_by_demand
 
@@ -178,3 +183,38 @@
 def check_retries(context, count):
     assert 0 < len(context.pauses) <= count, len(context.pauses)
     assert len(set(context.pauses)) > len(context.pauses) / 2
+
+
+@given(
+    "{count:d} targets with a latency of {usual_s:f} s, "
+    "of which one answered in {slow_s:f} s"
+)
+def make_targets(context, count, usual_s, slow_s):
+    context.usual_s = usual_s
+    context.targets = {f"t{number}": TargetStats() for number in range(count)}
+    for name, stats in context.targets.items():
+        latency_s = slow_s if name == "t0" else usual_s
+        stats.record_success(latency_s, 0.0, usual_s)
+
+
+@when("{count:d} requests are routed, one after the other, within {span_s:f} s")
+def route_requests(context, count, span_s):
+    rng = random.Random(1)
+    targets = context.targets
+    context.sent = dict.fromkeys(targets, 0)
+    for number in range(count):
+        now = span_s * number / count
+        typical_s = find_typical_latency(targets.values())
+        views = [
+            TargetView(name, 0, 8, stats.estimate_latency(now, typical_s))
+            for name, stats in targets.items()
+        ]
+        name = route_two_choices(views, now, rng)
+        context.sent[name] += 1
+        latency_s = context.usual_s * rng.uniform(0.9, 1.1)
+        targets[name].record_success(latency_s, now, typical_s)
+
+
+@then("that target gets at least {count:d} of them")
+def check_share(context, count):
+    assert context.sent["t0"] >= count, context.sent
--- a/src/firladder/_internal/gateway/targets.py
+++ b/src/firladder/_internal/gateway/targets.py
@@ -120,9 +120,25 @@
             if trusted and state.stats.on_probe:
                 share = min(share, 1)
             if len(state.stats.sent_at) < share:
-                views.append(_make_view(state, share, now, trusted=trusted))
+                views.append(self._make_view(state, share, now, trusted=trusted))
         return views
 
+    def _make_view(
+        self, state: TargetState, share: int, now: float, *, trusted: bool
+    ) -> TargetView:
+        stats = state.stats
+        typical_s = self.find_typical_latency(state.machine.service)
+        return TargetView(
+            state.machine.name,
+            len(stats.sent_at),
+            share,
+            stats.estimate_latency(now, typical_s),
+            stats.failures,
+            stats.retry_at if trusted else 0.0,
+            False,
+            stats.find_oldest_age(now),
+        )
+
     def measure_capacity(
         self, service: str, selector: Selector, configuration: Configuration
     ) -> int:
@@ -231,19 +247,3 @@
 
 def _collect_labels(machine: Machine, configuration: Configuration) -> dict[str, str]:
     return collect_labels(configuration, "target", machine.name, machine.labels)
-
-
-def _make_view(
-    state: TargetState, share: int, now: float, *, trusted: bool
-) -> TargetView:
-    stats = state.stats
-    return TargetView(
-        state.machine.name,
-        len(stats.sent_at),
-        share,
-        stats.latency_s,
-        stats.failures,
-        stats.retry_at if trusted else 0.0,
-        False,
-        stats.find_oldest_age(now),
-    )
--- a/src/firladder/_internal/policies/routing.py
+++ b/src/firladder/_internal/policies/routing.py
@@ -1,6 +1,7 @@
 """Choose the target of a request, and detect slow and failing targets."""
 
 import dataclasses
+import math
 import random
 import statistics
 from collections.abc import Callable, Iterable, Sequence
@@ -23,6 +24,9 @@
 fewer requests at a time is enough; run times of one service differ by a factor of
 two anyway."""
 
+LATENCY_HALF_LIFE_S = 1.0
+"""Seconds without an answer after which a target's latency counts half."""
+
 MIN_SAMPLES_TO_JUDGE = 3
 """Answers needed from a target before it can be classed as slow."""
 
@@ -42,6 +46,7 @@
     failures: int = 0
     pauses: int = 0
     retry_at: float = 0.0
+    answered_at: float = 0.0
     sent_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
     @property
@@ -65,8 +70,10 @@
             # that has recovered paused.
             self.latency_s = latency_s
         else:
-            self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
+            weight = max(LATENCY_WEIGHT, 1 - self._measure_freshness(now))
+            self.latency_s += weight * (latency_s - self.latency_s)
         self.samples += 1
+        self.answered_at = now
         slow = self.latency_s > SLOW_FACTOR * typical_s
         if slow and self.samples >= MIN_SAMPLES_TO_JUDGE:
             self._pause(now)
@@ -74,6 +81,21 @@
             self.pauses = 0
             self.retry_at = 0.0
 
+    def estimate_latency(self, now: float, typical_s: float) -> float:
+        """Return the expected latency, given the median of all targets.
+
+        A target that was slow for a moment, but not slow enough to be paused, would
+        lose to the others for ever: without requests its latency is not measured again.
+        So it fades with its age, until the target is preferred for a request.
+        """
+        faded_s = self.latency_s * self._measure_freshness(now)
+        return max(faded_s, min(self.latency_s, typical_s / 2))
+
+    def _measure_freshness(self, now: float) -> float:
+        """Return how much the latency still counts: 1 after an answer, then less."""
+        age_s = max(0.0, now - self.answered_at)
+        return math.exp2(-age_s / LATENCY_HALF_LIFE_S)
+
     def record_failure(self, now: float) -> None:
         """Record a failure, and pause the target after several in a row."""
         self.failures += 1
