Collect the changes of workers' entries for 0.1 s

The next call is now made 0.1 s after an answer. A drain is announced seconds ahead, and a worker that comes 0.1 s later is no loss.

--- a/features/node_large_fleet.feature
+++ b/features/node_large_fleet.feature
@@ -25,3 +25,11 @@
     Given a new leader of 300 workers, of which 0 are silent
     When it leads for 2.0 s, and then for 5.0 s without a task
     Then no free capacity is computed
+
+  Scenario: Changes of workers' entries take few calls of the store
+    Guards against a call of the store, which is billed, for each of a hundred changes
+    a second.
+    Given a store where an entry changes every 0.01 s
+    When a leader watches the entries for 5.0 s
+    Then it has made at most 50 calls
+    And it has seen all changes up to 0.2 s before
--- a/features/steps/node_large_fleet_steps.py
+++ b/features/steps/node_large_fleet_steps.py
@@ -9,6 +9,7 @@
 from firladder._internal.engine.state import Worker
 from firladder._internal.models.workload import Resources, WorkerEntry
 from firladder._internal.node.worker_session import WorkerSession
+from firladder._internal.platform.store import Change, Changes, Listing
 
 CAPACITY = Resources(64000, 262144, 8)
 
@@ -116,3 +117,51 @@
 @then("no free capacity is computed")
 def check_not_computed(context):
     assert context.computed == 0, context.computed
+
+
+class ChangingStore:
+    """A store in which one key changes periodically; a watch waits for a change."""
+
+    def __init__(self, interval_s):
+        self.interval_s = interval_s
+        self.calls = 0
+
+    async def watch(self, prefix, *, after, wait_s, max_bytes):
+        self.calls += 1
+        loop = asyncio.get_running_loop()
+        while (revision := int(loop.time() / self.interval_s)) <= after:
+            await asyncio.sleep(self.interval_s / 2)
+        found = (Change(f"{prefix}w", b"", n) for n in range(after + 1, revision + 1))
+        return Changes(tuple(found), revision)
+
+
+@given("a store where an entry changes every {seconds:f} s")
+def make_store(context, seconds):
+    context.store = ChangingStore(seconds)
+
+
+@when("a leader watches the entries for {seconds:f} s")
+def watch_entries(context, seconds):
+    async def watch():
+        term = LoadedTerm()
+        term._store = context.store
+        term._apply_worker_listing = lambda _listing: None
+        context.seen = []
+        term._apply_worker_change = lambda change: context.seen.append(change.revision)
+        term._watch_workers(Listing((), 0))
+        await asyncio.sleep(seconds)
+        await term._tasks.close()
+
+    context.span_s = seconds
+    run_in_virtual_time(watch())
+
+
+@then("it has made at most {count:d} calls")
+def check_calls(context, count):
+    assert context.store.calls <= count, context.store.calls
+
+
+@then("it has seen all changes up to {seconds:f} s before")
+def check_seen(context, seconds):
+    expected = int((context.span_s - seconds) / context.store.interval_s)
+    assert set(range(1, expected + 1)) <= set(context.seen), len(context.seen)
--- a/src/firladder/_internal/node/prefix_watch.py
+++ b/src/firladder/_internal/node/prefix_watch.py
@@ -48,14 +48,19 @@
         wait_s: float = WATCH_WAIT_S,
         start: Listing | None = None,
         newest_only: bool = False,
+        batch_s: float = 0.0,
     ) -> None:
         """Watch ``prefix``, continuing from ``start`` if it was listed already.
 
+        After each answer the next call is made ``batch_s`` seconds later, so that the
+        changes of that time take one call.
+
         With ``newest_only``, a failed watch continues from a new listing. Otherwise a
         node that missed many large changes would have to read them all, which may
         exceed the maximum size of a response.
         """
         self._newest_only = newest_only
+        self._batch_s = batch_s
         self._state_bytes = 0
         self._clock = clock
         self._timeline = timeline
@@ -79,6 +84,7 @@
             self._failed = not await self._step()
             if not self._failed:
                 pause_s = RETRY_S
+                await asyncio.sleep(self._batch_s)
                 continue
             await asyncio.sleep(pause_s * self._rng.uniform(0.7, 1.3))
             pause_s = min(pause_s * 2, MAX_RETRY_S)
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -55,6 +55,10 @@
 """Timeout for reading the records, in seconds. A slower leader resigns in favour of a
 node with a better connection to the store, as nothing is scheduled meanwhile."""
 
+WORKER_BATCH_S = 0.1
+"""Seconds for which changes of entries are collected. Hundreds of workers change them a
+hundred times a second, and a drain is announced seconds ahead."""
+
 READ_RETRY_S = 0.1
 """Seconds before a failed listing is retried."""
 
@@ -278,12 +282,7 @@
             self._apply_submission_listing,
             self._apply_submission_change,
         )
-        self._watch_prefix(
-            WORKER_PREFIX,
-            workers,
-            self._apply_worker_listing,
-            self._apply_worker_change,
-        )
+        self._watch_workers(workers)
         self._watch_prefix(
             EVACUATION_PREFIX,
             evacuations,
@@ -301,6 +300,15 @@
             await asyncio.sleep(READ_RETRY_S)
         return None
 
+    def _watch_workers(self, start: Listing) -> None:
+        self._watch_prefix(
+            WORKER_PREFIX,
+            start,
+            self._apply_worker_listing,
+            self._apply_worker_change,
+            batch_s=WORKER_BATCH_S,
+        )
+
     def _watch_prefix(
         self,
         prefix: str,
@@ -309,6 +317,7 @@
         on_change: Callable[[Change], None],
         *,
         newest_only: bool = False,
+        batch_s: float = 0.0,
     ) -> None:
         watch = PrefixWatch(
             store=self._store,
@@ -320,6 +329,7 @@
             timeline=self._timeline,
             start=start,
             newest_only=newest_only,
+            batch_s=batch_s,
         )
         self._tasks.spawn(watch.run(), name=f"watch-{prefix}")
 
