Log the end of urgent work with its slowest worker

On the shifted deployment most late urgent jobs began within 60 ms and had a single run; the log told neither where they ran nor when they ended. One line for each urgent unit now names the declared time, the worker whose end was read, and the slowest of the gang as far as speeds are learned.

--- a/features/node_logs.feature
+++ b/features/node_logs.feature
@@ -49,3 +49,11 @@
     And an urgent gang of 2 that is planned
     When its members are active 0.4 s and 0.9 s later
     Then one decision "urgent work began" names its wait of 0.9 s
+
+  Scenario: The end of urgent work is logged with its slowest worker
+    Guards against late urgent work of which nobody can tell where it was late.
+    Given an engine with 2 workers of 8 accelerators
+    And an urgent gang of 2 that is planned
+    When its members are active 0.4 s and 0.9 s later
+    And one of its members ends
+    Then one decision "urgent work ended" names that member's worker
--- a/features/steps/node_log_steps.py
+++ b/features/steps/node_log_steps.py
@@ -239,3 +239,17 @@
 def check_began(context, seconds):
     inputs = find_decision(context, "urgent work began")
     assert (inputs["job"], inputs["waited_s"]) == ("urgent", seconds), inputs
+
+
+@when("one of its members ends")
+def end_member(context):
+    member = context.members[0]
+    worker = context.engine.core.workers[member.worker_id]
+    context.engine.core._resolve(worker, member, "done")
+
+
+@then('one decision "urgent work ended" names that member\'s worker')
+def check_ended(context):
+    inputs = find_decision(context, "urgent work ended")
+    assert inputs["worker"] == context.members[0].worker_id, inputs
+    assert inputs["slowness"] == 1.0, inputs
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -419,6 +419,8 @@
             return
         if ending == "done":
             unit.state = UnitState.DONE
+            if unit.job.accepted.priority == 0:
+                self._note_done(unit, placement, worker)
             self._check_completed(unit.job)
             return
         if ending == "alone":
@@ -434,6 +436,22 @@
         )
         self._abort_run(unit)
 
+    def _note_done(self, unit: Unit, last: Placement, worker: Worker) -> None:
+        """Log the end of urgent work, and its slowest worker: a gang waits for it."""
+        ids = [last.worker_id, *(p.worker_id for p in unit.placements.values())]
+        slowness = {i: self.speeds.find_slowness(i) for i in ids}
+        slowest = max(slowness, key=slowness.__getitem__)
+        self.note(
+            "urgent work ended",
+            job=unit.job.accepted.job_id,
+            step=unit.step_index,
+            run=unit.run,
+            declared_s=unit.step.estimate_s,
+            worker=worker.worker_id,
+            slowest=slowest,
+            slowness=round(slowness[slowest], 2),
+        )
+
     def _note_alone(self, unit: Unit, placement: Placement) -> None:
         """Log what the leader believed of all members when one ended alone."""
         others = sorted(unit.placements.items())
