--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -3,9 +3,9 @@
 import dataclasses
 import math
 from collections import deque
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Sequence
 
-from ..models.workload import Queue, Resources
+from ..models.workload import Resources
 from .core import Core
 from .draining import list_units_to_move
 from .estimates import Estimates
@@ -28,7 +28,8 @@
 from .preemption import ACCELERATOR_CORES, PreemptionPlan, PreemptionPlanner
 from .reservations import Reservation, Reservations, is_capacity_free
 from .shortages import ANY_WORKER_S, Demand, Shortages
-from .state import Job, Unit, UnitState
+from .state import Unit
+from .waiting import WaitingUnits
 
 PREEMPTED_BACKOFF_S = 1.0
 """How long a preempted unit waits before it is planned again. In a burst it would take
@@ -96,12 +97,11 @@
         self._reclaim_s = reclaim_s
         self._restart_s = restart_s
         self._reservations = Reservations()
-        self._queues: dict[str, Queue] = {}
+        self._waiting = WaitingUnits(core)
         self._shortages = Shortages()
         self._view = PoolView(core, now=0.0)
         self._filling: tuple[StepKey, deque[Candidate]] | None = None
         self._tried: set[int] = set()
-        self.next_due_s: float | None = None
         self.interrupted = False
 
     def run_pass(
@@ -117,11 +117,10 @@
         takes the units that did not fit last, so that it comes to the others.
         """
         core = self._core
-        self._queues = {q.name: q for q in core.configuration.queues}
-        self.next_due_s = None
+        self._waiting.begin_pass()
         self._estimates.begin_pass()
         self._shortages.begin_pass()
-        units = list(self._list_waiting(now, wall))
+        units = list(self._waiting.list_ready(now, wall))
         if not units:
             self._reservations.clear()
             self._end_pass(interrupted=False)
@@ -149,7 +148,7 @@
             step_key = _name_step(unit)
             if step_key in blocked:
                 continue
-            pool_name = self._find_pool(job)
+            pool_name = self._waiting.find_pool(job)
             pool = view.list_pool(pool_name)
             reservation = self._reservations.find(unit)
             if reservation is not None:
@@ -185,55 +184,6 @@
         if not interrupted:
             self._tried.clear()
 
-    def _list_waiting(self, now: float, wall: float) -> Iterator[Unit]:
-        for job in self._core.jobs.values():
-            if job.terminal or job.cancelled:
-                continue
-            if self._find_pool(job) == "":
-                continue
-            for (occurrence, number), units in job.by_step.items():
-                if not self._is_due(job, occurrence, wall):
-                    continue
-                step = job.accepted.workload.steps[number]
-                if not all(
-                    unit.state is UnitState.DONE
-                    for earlier in step.after
-                    for unit in job.by_step[occurrence, earlier]
-                ):
-                    continue
-                for unit in units:
-                    if unit.state is UnitState.WAITING and not unit.placements:
-                        if now < unit.backoff_until:
-                            continue
-                        if unit.ready_at < 0:
-                            unit.ready_at = now
-                        if unit.waiting_since < 0:
-                            unit.waiting_since = now
-                        yield unit
-
-    def _is_due(self, job: Job, occurrence: int, wall: float) -> bool:
-        workload = job.accepted.workload
-        if workload.occurrences <= 0:
-            return True
-        due = workload.first_at_s + occurrence * workload.interval_s
-        if wall >= due:
-            return True
-        if self.next_due_s is None or due - wall < self.next_due_s:
-            self.next_due_s = due - wall
-        return False
-
-    def _find_pool(self, job: Job) -> str:
-        """Return the pool that the configuration in force assigns to the job.
-
-        If its queue has been removed since, the job stays in the pool of that queue as
-        long as the pool exists. An empty name means that the job is not planned here:
-        its queue has a policy that only an external service knows.
-        """
-        queue = self._queues.get(job.accepted.queue)
-        if queue is None:
-            return job.accepted.pool
-        return "" if queue.needs_advice else queue.pool
-
     def _rank(self, unit: Unit, wall: float) -> tuple[float, ...]:
         accepted = unit.job.accepted
         return (
@@ -267,7 +217,7 @@
     ) -> bool:
         if not is_starved(unit, now, longer_than=longer_than):
             return False
-        return self._find_pool(unit.job) in self._view.idle_pools
+        return self._waiting.find_pool(unit.job) in self._view.idle_pools
 
     def _describe_demand(
         self, unit: Unit, name: str, pool: Sequence[Candidate], now: float
