--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -19,6 +19,7 @@
 from ..models.workload import QueueConfiguration, Resources
 from .crashes import uses_up_crashes
 from .restarts import Restarts
+from .run_descriptions import Inputs, describe_alone, describe_done, describe_spread
 from .speeds import Speeds
 from .state import Job, JobState, Phase, Placement, Unit, UnitState, Worker
 from .unregistered import UnregisteredWorkers
@@ -344,15 +345,7 @@
         """Log a gang whose members started far apart: the first ones waited."""
         spread_s = unit.measure_start_spread()
         if spread_s is not None and spread_s >= NOTED_START_SPREAD_S:
-            self.note(
-                "gang apart",
-                job=unit.job.accepted.job_id,
-                step=unit.step_index,
-                run=unit.run,
-                spread_s=round(spread_s, 3),
-                index=last.task.index,
-                worker=last.worker_id,
-            )
+            self.note("gang apart", **describe_spread(unit, last, spread_s))
 
     def _order_stop(self, placement: Placement) -> None:
         placement.phase = Phase.STOPPING
@@ -420,11 +413,11 @@
         if ending == "done":
             unit.state = UnitState.DONE
             if unit.job.accepted.priority == 0:
-                self._note_done(unit, placement, worker)
+                self.note("urgent work ended", **self._describe_done(unit, placement))
             self._check_completed(unit.job)
             return
         if ending == "alone":
-            self._note_alone(unit, placement)
+            self.note("member ended alone", **describe_alone(unit, placement))
         self.note(
             "run ended",
             job=unit.job.accepted.job_id,
@@ -436,36 +429,12 @@
         )
         self._abort_run(unit)
 
-    def _note_done(self, unit: Unit, last: Placement, worker: Worker) -> None:
-        """Log the end of urgent work, and its slowest worker: a gang waits for it."""
-        ids = [last.worker_id, *(p.worker_id for p in unit.placements.values())]
-        slowness = {i: self.speeds.find_slowness(i) for i in ids}
-        slowest = max(slowness, key=slowness.__getitem__)
-        self.note(
-            "urgent work ended",
-            job=unit.job.accepted.job_id,
-            step=unit.step_index,
-            run=unit.run,
-            declared_s=unit.step.estimate_s,
-            worker=worker.worker_id,
-            slowest=slowest,
-            slowness=round(slowness[slowest], 2),
-        )
-
-    def _note_alone(self, unit: Unit, placement: Placement) -> None:
-        """Log what the leader believed of all members when one ended alone."""
-        others = sorted(unit.placements.items())
-        self.note(
-            "member ended alone",
-            job=unit.job.accepted.job_id,
-            step=unit.step_index,
-            run=placement.run,
-            index=placement.task.index,
-            worker=placement.worker_id,
-            active_at=round(placement.active_at, 3),
-            others=[f"{i} {p.phase.value} {p.worker_id}" for i, p in others],
-            gone=len(unit.indices) - len(others) - 1,
-        )
+    def _describe_done(self, unit: Unit, last: Placement) -> Inputs:
+        members = (last, *unit.placements.values())
+        slowness = {
+            p.worker_id: self.speeds.find_slowness(p.worker_id) for p in members
+        }
+        return describe_done(unit, last, slowness)
 
     def _retry_or_fail(self, unit: Unit) -> None:
         """Return a unit whose run is over to waiting, or fail its job."""
