Put work that is late last in every priority

Only urgent work that could no longer be in time came after the rest. Heavy and small jobs went by arrival: in an overload each waited behind jobs that were late already, and all were late. Work that has waited for four times its objective goes first again, as before for urgent work.

--- a/features/engine_policy.feature
+++ b/features/engine_policy.feature
@@ -52,6 +52,27 @@
     When a pass is made
     Then the job that arrived 60 seconds ago is planned
 
+  Scenario Outline: Lower work that can be in time goes before lower work that is late
+    More heavy jobs arrive than fit. In order of arrival, each would wait behind jobs that
+    are already late, and all would be late.
+    Given an engine with 1 rack of 1 worker
+    And whole-worker jobs of priority <priority> arrived 8, 7 and 0 seconds ago
+    When a pass is made
+    Then the job that arrived 0 seconds ago is planned
+    When that job ends and a pass is made
+    Then the job that arrived 8 seconds ago is planned
+
+    Examples:
+      | priority |
+      | 1        |
+      | 2        |
+
+  Scenario: Very late lower work is not put off for ever
+    Given an engine with 1 rack of 1 worker
+    And whole-worker jobs of priority 1 arrived 60, 7 and 0 seconds ago
+    When a pass is made
+    Then the job that arrived 60 seconds ago is planned
+
   Scenario: Urgent work stops the work that loses least
     Young work and work with checkpoints lose little when stopped; work that is almost
     done, or a wide gang, loses much.
--- a/features/steps/engine_policy_steps.py
+++ b/features/steps/engine_policy_steps.py
@@ -146,6 +146,17 @@
         submit(context, f"age-{age}", make_step(), priority=0, at=at, takes_s=2.5)
 
 
+@given(
+    "whole-worker jobs of priority {priority:d} arrived "
+    "{first:d}, {second:d} and {third:d} seconds ago"
+)
+def add_aged_lower(context, priority, first, second, third):
+    for age in (first, second, third):
+        at = context.engine.now - age
+        name = f"age-{age}"
+        submit(context, name, make_step(), priority=priority, at=at, takes_s=2.5)
+
+
 @when("a pass is made")
 def make_pass(context):
     start_now(context)
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -188,7 +188,7 @@
         accepted = unit.job.accepted
         return (
             accepted.priority,
-            accepted.priority == 0 and self._is_late(unit, wall),
+            self._is_late(unit, wall),
             accepted.accepted_at_s,
             unit.occurrence,
             unit.step_index,
