Answer a caller before its deadline while the store is probed

Since the first submission of an outage waited for a probe of 0.3 s that had no regard to its deadline: platform_path, "While the store is silent, nothing is accepted and no outcome is false", answered after 2.64 s, not within 2.5 s. A caller now waits for the probe, and for the write after it, no longer than its own time.

--- a/src/firladder/_internal/node/records.py
+++ b/src/firladder/_internal/node/records.py
@@ -144,12 +144,13 @@
         During an outage nothing is written: after a write without an answer the caller
         could not be told that it may safely retry.
         """
-        if not await self._probe.answers():
+        until = self._clock.read_monotonic() + timeout_s
+        if not await self._probe.answers(within_s=timeout_s):
             return "not_stored"
         result = await self._store.commit(
             expected=[(key, 0)],
             writes=[Write(key, value)],
-            timeout_s=timeout_s,
+            timeout_s=max(MIN_ATTEMPT_TIMEOUT_S, until - self._clock.read_monotonic()),
         )
         if isinstance(result, int):
             return "stored"
--- a/src/firladder/_internal/node/store_probe.py
+++ b/src/firladder/_internal/node/store_probe.py
@@ -23,13 +23,15 @@
         self._store = store
         self._running: asyncio.Task[bool] | None = None
 
-    async def answers(self) -> bool:
-        """Return whether the store answers; a reachable one is not probed."""
+    async def answers(self, *, within_s: float) -> bool:
+        """Return whether the store answers in time; a reachable one is not probed."""
         if self._store.reachable:
             return True
         if self._running is None or self._running.done():
             self._running = asyncio.create_task(self._probe(), name="probe-store")
-        return await asyncio.shield(self._running)
+        probe = self._running
+        await asyncio.wait((probe,), timeout=within_s)
+        return probe.done() and probe.result()
 
     async def _probe(self) -> bool:
         found = await self._store.read_item(LEADER, timeout_s=PROBE_TIMEOUT_S)
