Carry a worker's profile to each placement; simulate workers of uneven speed

Placement knew one figure of a worker, its slowness, and could not tell an unknown worker from an average one. A candidate now carries a profile; what fills it is as before, so that every decision is the same.

--- a/src/firladder/_internal/engine/placement.py
+++ b/src/firladder/_internal/engine/placement.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from ..models.workload import Resources, Step
+from .profiles import UNKNOWN, WorkerProfile
 from .state import Worker
 
 UNBOUNDED = 1 << 30
@@ -21,8 +22,7 @@
 class Candidate:
     """A worker that may get tasks, with its free capacity in this pass.
 
-    ``backfill_window_s`` is for how long it may be used until a waiting gang needs it;
-    ``slowness`` is the run time of a task there relative to a usual worker.
+    ``backfill_window_s`` is for how long it may be used until a waiting gang needs it.
     """
 
     worker_id: str
@@ -30,9 +30,14 @@
     labels: frozenset[str]
     capacity: Resources
     free: Resources
-    slowness: float = 1.0
+    profile: WorkerProfile = UNKNOWN
     backfill_window_s: float = math.inf
 
+    @property
+    def slowness(self) -> float:
+        """Return the run time of a task there relative to a usual worker."""
+        return self.profile.slowness
+
 
 def count_fitting_if_empty(candidate: Candidate, need: Resources) -> int:
     """Return how many tasks of this size fit on the worker if it is empty."""
--- a/src/firladder/_internal/engine/pool_view.py
+++ b/src/firladder/_internal/engine/pool_view.py
@@ -22,6 +22,7 @@
     def __init__(self, core: Core, now: float) -> None:
         """View the workers of ``core`` at ``now``."""
         self._core = core
+        self._now = now
         self._free = {w.worker_id: w.free for w in core.workers.values()}
         self._pools: dict[str, list[Candidate]] = {}
         for worker in self._list_usable(now):
@@ -96,5 +97,5 @@
             entry.labels,
             entry.capacity,
             self._free[worker.worker_id],
-            slowness=self._core.speeds.find_slowness(worker.worker_id),
+            profile=self._core.profiles.find(worker.worker_id, self._now),
         )
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -18,6 +18,7 @@
 from ..models.order import Ending, StartOrder, StopOrder
 from ..models.workload import QueueConfiguration, Resources
 from .crashes import uses_up_crashes
+from .profiles import Profiles
 from .restarts import Restarts
 from .run_descriptions import Inputs, describe_alone, describe_done, describe_spread
 from .speeds import Speeds
@@ -87,6 +88,7 @@
         self.stops: list[Placement] = []
         self.run_times: dict[tuple[str, int], float] = {}
         self.speeds = Speeds()
+        self.profiles = Profiles(self.speeds)
         self.restarts = Restarts()
         self.charged = False
         """Whether some unit was charged with a crash, which is rare."""
--- a/src/firladder/_internal/engine/speeds.py
+++ b/src/firladder/_internal/engine/speeds.py
@@ -79,6 +79,10 @@
         # of the estimates of the steps.
         return math.exp(estimate.value - self._sum / len(self._workers))
 
+    def knows(self, worker_id: str) -> bool:
+        """Return whether anything was learned of a worker."""
+        return worker_id in self._workers
+
     def learn_from_progress(self, unit: Unit, placement: Placement, now: float) -> None:
         """Learn from the progress of an active task, once per task."""
         # A gang member that is done waits for the others at 100 per cent.
--- a/src/firladder/_internal/evaluation/day_driver.py
+++ b/src/firladder/_internal/evaluation/day_driver.py
@@ -8,9 +8,10 @@
 import dataclasses
 import heapq
 import itertools
+import random
 import statistics
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from ..engine import leases
 from ..engine.core import Core
@@ -125,12 +126,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Run:
-    """A run of a unit; ``progress_s`` is the work that earlier runs saved."""
+    """A run of a unit; ``progress_s`` is the work that earlier runs saved.
+
+    ``slowdown`` is the run's time over that of the same work on usual workers. Members
+    that are done before ``duration_s`` wait for the others.
+    """
 
     started_at: float
     duration_s: float
     slowdown: float
     progress_s: float
+    member_durations_s: Mapping[int, float]
 
 
 class DayDriver:
@@ -145,6 +151,7 @@
             self.core, reclaim_s=RECLAIM_S, restart_s=STOP_DELAY_S + RESTORE_S
         )
         self._slowdowns = day.slowdowns
+        self._rng = random.Random(len(day.jobs))
         self.job_outcomes = {j.accepted.job_id: JobOutcome(j) for j in day.jobs}
         self.lost_core_s = 0.0
         self.preemptions = 0
@@ -249,20 +256,41 @@
         progress_s = self._progress_s.get(id(unit), 0.0)
         remaining_s = outcome.job.run_duration_s - progress_s
         crosses_racks = unit.step.one_rack and len(unit.indices) > 1 and len(racks) > 1
-        worker_slowdown = max(
-            self._slowdowns.get(p.worker_id, 1) for p in unit.placements.values()
-        )
-        slowdown = (
-            CROSS_RACK_SLOWDOWN * worker_slowdown if crosses_racks else worker_slowdown
-        )
-        outcome.cross_rack_s = (
-            remaining_s * worker_slowdown * (CROSS_RACK_SLOWDOWN - 1)
-            if crosses_racks
-            else 0.0
+        rack_factor = CROSS_RACK_SLOWDOWN if crosses_racks else 1.0
+        durations_s = {
+            index: remaining_s
+            * outcome.job.find_task_factor(index)
+            * self._slowdowns.get(placement.worker_id, 1)
+            * rack_factor
+            for index, placement in unit.placements.items()
+        }
+        duration_s = max(durations_s.values())
+        outcome.cross_rack_s = duration_s * (1 - 1 / rack_factor)
+        run = _Run(
+            self.now, duration_s, duration_s / remaining_s, progress_s, durations_s
         )
-        run = _Run(self.now, remaining_s * slowdown, slowdown, progress_s)
         self._runs[id(unit), unit.run] = run
-        self._schedule(self.now + run.duration_s, self._make_finish(unit, unit.run))
+        failed_share = outcome.job.kind.failed_share
+        if failed_share and self._rng.random() < failed_share:
+            fails_at = self.now + duration_s * self._rng.random()
+            self._schedule(fails_at, self._make_failure(unit, unit.run))
+        else:
+            self._schedule(self.now + duration_s, self._make_finish(unit, unit.run))
+
+    def _make_failure(self, unit: Unit, run: int) -> Callable[[], None]:
+        def fail() -> None:
+            if unit.run != run or not unit.all_active:
+                return
+            placements = list(unit.placements.values())
+            failing = self._rng.choice(placements)
+            for placement in placements:
+                self._record_lost_work(placement)
+            for placement in placements:
+                how: Ending = "failed" if placement is failing else "broken"
+                self._end_task(placement, how)
+            self._schedule_pass()
+
+        return fail
 
     def _make_finish(self, unit: Unit, run: int) -> Callable[[], None]:
         def finish() -> None:
@@ -331,7 +359,11 @@
         run = self._runs.get((id(placement.unit), placement.run))
         if run is None:
             return 0
-        return min(99, int(100 * (self.now - run.started_at) / run.duration_s))
+        elapsed_s = self.now - run.started_at
+        if elapsed_s >= run.duration_s:
+            return 99
+        duration_s = run.member_durations_s.get(placement.task.index, run.duration_s)
+        return min(100, int(100 * elapsed_s / duration_s))
 
     def _summarize(self) -> DayOutcome:
         full_worth: defaultdict[str, float] = defaultdict(float)
--- a/src/firladder/_internal/evaluation/day_loads.py
+++ b/src/firladder/_internal/evaluation/day_loads.py
@@ -39,6 +39,11 @@
     ``one_rack`` is the share of jobs that request one rack, ``checkpoint_share`` the
     share that save their progress, ``late_worth`` the worth of a late job, and
     ``initial_jobs`` the number of jobs that are there when the day begins.
+
+    ``unevenness`` is the standard deviation of the logarithm of a task's work within
+    its step, ``declared_error`` the greatest relative error of declared times, and
+    ``failed_share`` the share of runs that fail by their own fault. A share
+    ``tail_share`` of all tasks takes ``tail_factor`` times as long.
     """
 
     name: str
@@ -58,6 +63,11 @@
     worth: float
     late_worth: float
     initial_jobs: int
+    unevenness: float = 0.0
+    declared_error: float | None = None
+    failed_share: float = 0.0
+    tail_share: float = 0.0
+    tail_factor: float = 7.0
 
 
 URGENT = Kind(
@@ -144,6 +154,45 @@
 )
 
 
+UNEVEN_URGENT = dataclasses.replace(
+    URGENT,
+    arrivals_per_s=2.13,
+    mean_tasks=5.4,
+    max_tasks=32,
+    run_duration_s=2.1,
+    memory_mb=39_000,
+    unevenness=0.3,
+    declared_error=0.9,
+    failed_share=0.05,
+)
+UNEVEN_HEAVY = dataclasses.replace(
+    HEAVY,
+    arrivals_per_s=0.401,
+    mean_tasks=13.0,
+    max_tasks=78,
+    run_duration_s=9.4,
+    memory_mb=140_000,
+    late_worth=0.3,
+    initial_jobs=16,
+    unevenness=0.15,
+    declared_error=0.5,
+    failed_share=0.05,
+)
+UNEVEN_SMALL = dataclasses.replace(
+    SMALL,
+    arrivals_per_s=0.616,
+    mean_tasks=39.0,
+    max_tasks=230,
+    run_duration_s=5.2,
+    memory_mb=23_000,
+    late_worth=0.1,
+    initial_jobs=20,
+    unevenness=0.3,
+    declared_error=0.2,
+    failed_share=0.05,
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Deployment:
     """The workers of a deployment, and the kinds of work that it runs.
@@ -179,22 +228,40 @@
 )
 
 
+UNEVEN_POOL = Deployment(
+    kinds=(UNEVEN_URGENT, UNEVEN_HEAVY, UNEVEN_SMALL),
+    workers=176,
+    workers_per_rack=20,
+    capacity=Resources(64_000, 262_144, 8),
+    organisations=10,
+    slowdowns=(0.6, 1.0, 1.6),
+    weight_by_work=True,
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DayJob:
     """A job of a day, its kind, and its run time on a worker of normal speed.
 
-    ``weight`` is the job's worth as a multiple of its kind's.
+    ``weight`` is the job's worth as a multiple of its kind's. ``task_factors`` has the
+    work of each task relative to ``run_duration_s``; where it ends, the factor is 1.
     """
 
     accepted: AcceptedJob
     kind: Kind
     run_duration_s: float
     weight: float = 1.0
+    task_factors: tuple[float, ...] = ()
 
     @property
     def objective_s(self) -> float:
         """Return the time from arrival within which the job should end, in seconds."""
-        return self.kind.stretch * self.run_duration_s + self.kind.slo_s
+        longest_s = self.run_duration_s * max(self.task_factors, default=1.0)
+        return self.kind.stretch * longest_s + self.kind.slo_s
+
+    def find_task_factor(self, index: int) -> float:
+        """Return the work of a task relative to ``run_duration_s``."""
+        return self.task_factors[index] if index < len(self.task_factors) else 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -260,6 +327,18 @@
     )
 
 
+@DAYS.register("uneven")
+def make_uneven(seed: int) -> Day:
+    """Return a day on a pool of which a third is slow and a third is fast."""
+    return _make_day(seed, UNEVEN_POOL, burst_factor=1.0, initial_share=0.5)
+
+
+@DAYS.register("uneven_burst")
+def make_uneven_burst(seed: int) -> Day:
+    """Return a day on the same pool, full, that begins with a burst of urgent work."""
+    return _make_day(seed, UNEVEN_POOL, rate_factor=1.5, burst_factor=2.2)
+
+
 DAY_S = 30.0
 BURST_S = 6.0
 INITIAL_JOBS_AT_S = -8.0
@@ -339,7 +418,7 @@
     step = Step(
         count=min(kind.max_tasks, max(1, round(rng.expovariate(1 / kind.mean_tasks)))),
         need=Resources(round(kind.cores * 1000), kind.memory_mb, accelerators),
-        estimate_s=kind.run_duration_s * rng.uniform(0.5, 2.0),
+        estimate_s=kind.run_duration_s * _draw_declared_factor(rng, kind),
         checkpoints=rng.random() < kind.checkpoint_share,
         gang=kind.gang,
         one_rack=rng.random() < kind.one_rack,
@@ -362,7 +441,22 @@
         if deployment.weight_by_work
         else 1.0
     )
-    return DayJob(accepted, kind, run_duration_s, weight)
+    factors = tuple(_draw_task_factors(rng, kind, step.count))
+    return DayJob(accepted, kind, run_duration_s, weight, factors)
+
+
+def _draw_declared_factor(rng: random.Random, kind: Kind) -> float:
+    if kind.declared_error is None:
+        return rng.uniform(0.5, 2.0)
+    return 1 + rng.uniform(-kind.declared_error, kind.declared_error)
+
+
+def _draw_task_factors(rng: random.Random, kind: Kind, count: int) -> Iterator[float]:
+    if not (kind.unevenness or kind.tail_share):
+        return
+    for _ in range(count):
+        factor = rng.lognormvariate(0, kind.unevenness)
+        yield factor * (kind.tail_factor if rng.random() < kind.tail_share else 1)
 
 
 def _compute_weight(kind: Kind, step: Step, run_duration_s: float) -> float:
