Learn the speeds of workers from every report, and doubt those that fail

Cause: a task contributed one observation at most, the spread of a pool was assumed, and the slow third of an uneven pool was never taken to be as slow as it is. A worker that failed everything was known only by its quarantine.

Change: each report refines what a task tells; the tasks of a step on a worker count as one observation; the spread is learned from pairs of tasks on one worker, and slowness is exactly 1 until it is distinguishable from none; workers that turn slow and workers that fail are known separately, and forgotten within seconds. A machine keeps its profile when its worker restarts.

The fake workers of the evictions' scenarios now make progress: at 10 per cent for six seconds they look like workers that hang, on which no urgent work is placed.

--- /dev/null
+++ b/features/engine_profiles.feature
@@ -0,0 +1,86 @@
+Feature: Workers are known by their speed, their spells of slowness and their failures
+
+  Gangs and single tasks run on three kinds of workers. Members differ by 15% to 30%,
+  3% of tasks take seven times as long, and declared times are up to ninefold off. A
+  worker is polled every two seconds, and when a run ends there.
+
+  Scenario Outline: Slow workers are told from fast ones within 20 s
+    In 11 of 40 urgent jobs the slowest worker was one of which nothing was known.
+    Given 90 workers that take 0.6, 1.0 and 1.6 times as long, and seed <seed>
+    When they run usual work for 20 s
+    Then 9 in 10 of the slow workers count as slower than every fast one
+    And the spread of the pool is known to be between 0.3 and 0.5
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  Scenario Outline: Equal workers stay equal
+    Decisions on a pool of equal workers would otherwise depend on chance.
+    Given 30 workers that take 1.0, 1.0 and 1.0 times as long, and seed <seed>
+    When they run usual work for 30 s
+    Then the lasting slowness of each was 1 at all times
+    And the spread of the pool is 0
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  Scenario: A worker that is slow for seven seconds is avoided during that time
+    Urgent work that is placed there meanwhile is certainly late.
+    Given 30 workers that take 0.6, 1.0 and 1.6 times as long, and seed 1
+    And they have run usual work for 20 s
+    When worker 4 turns 6.5 times slower for 5 s
+    Then worker 4 counts as 3 times slower than before
+    When it turns as fast as before for 8 s
+    Then worker 4 counts as at most 1.3 times slower than before
+
+  Scenario: A worker that is not used is not avoided for long
+    Nothing would show that it is as fast as before.
+    Given 30 workers that take 1.0, 1.0 and 1.0 times as long, and seed 1
+    And they have run usual work for 10 s
+    When worker 4 turns 6.5 times slower for 5 s
+    And nothing more runs on it for 5 s
+    Then worker 4 counts as at most 1.1 times slower than before
+
+  Scenario: A worker that fails every run is doubted after two failures
+    Given 30 workers that take 1.0, 1.0 and 1.0 times as long, and seed 1
+    When tasks of 2 jobs fail on worker 4
+    Then worker 4 is doubted by more than 0.8
+    When a task ends well on worker 4
+    Then worker 4 is not doubted
+
+  Scenario: A task that fails takes no worker out of service
+    Given 30 workers that take 1.0, 1.0 and 1.0 times as long, and seed 1
+    When tasks of 1 job fail on worker 4
+    Then worker 4 is doubted by less than 0.5
+    And without news for 20 s it is not doubted
+
+  Scenario: A task that fails everywhere casts no doubt on its workers
+    Given 30 workers that take 1.0, 1.0 and 1.0 times as long, and seed 1
+    When one task fails on 4 workers in turn
+    Then each of them but the first is doubted by less than 0.2
+
+  Scenario: A worker that stalls is doubted
+    Given 30 workers that take 1.0, 1.0 and 1.0 times as long, and seed 1
+    When the tasks of 2 jobs stand still on worker 4
+    Then worker 4 is doubted by more than 0.8
+
+  Scenario: A machine keeps its profile when its worker restarts
+    Given 30 workers that take 0.6, 1.0 and 1.6 times as long, and seed 2
+    And they have run usual work for 20 s
+    When worker 2 is replaced by another incarnation
+    Then the new worker has the profile of worker 2
+    When worker 5 is replaced by a larger one
+    Then the new worker is unknown, and as uncertain as the pool
+
+  Scenario: Work that another leader began is measured from its first report on
+    Its start is not known, and its progress since then would make the worker look fast.
+    Given 9 workers that take 1.0, 1.0 and 1.0 times as long, and seed 1
+    When a new leader finds a task at 50 per cent that takes 10 s
+    And 2 s later the task is at 70 per cent
+    Then the task is expected to take 10 s in all
--- a/features/steps/engine_evictions_steps.py
+++ b/features/steps/engine_evictions_steps.py
@@ -73,13 +73,17 @@
 
 
 def wait(world, seconds):
-    """Let workers answer polls without reporting the ends of stopped tasks."""
-    until = world.now + seconds
+    """Let workers answer polls without reporting the ends of stopped tasks.
+
+    All tasks progress: a worker whose tasks stand still gets no urgent work.
+    """
+    began_at = world.now
+    until = began_at + seconds
     while world.now < until:
         world.now += PASS_S
         for worker in world.core.workers.values():
             rows = [
-                RunningTask(p.task, p.run, "", 10)
+                RunningTask(p.task, p.run, "", 10 + int(10 * (world.now - began_at)))
                 for p in worker.placements.values()
                 if p.phase in (Phase.ACTIVE, Phase.STOPPING)
             ]
--- /dev/null
+++ b/features/steps/engine_profiles_steps.py
@@ -0,0 +1,227 @@
+import dataclasses
+import itertools
+import math
+
+from behave import given, then, when
+
+from features.support.engine_world import make_job, make_step
+from features.support.uneven_world import UnevenWorld
+from firladder._internal.engine.health import STALL_TIMEOUT_S
+from firladder._internal.models.order import RunningTask
+from firladder._internal.models.workload import Resources
+
+
+@given(
+    "{count:d} workers that take {a:f}, {b:f} and {c:f} times as long, and seed "
+    "{seed:d}"
+)
+def make_workers(context, count, a, b, c, seed):
+    factors = list(itertools.islice(itertools.cycle((a, b, c)), count))
+    context.world = UnevenWorld(factors, seed=seed)
+    context.lasting = set()
+
+
+@given("they have run usual work for {seconds:d} s")
+@when("they run usual work for {seconds:d} s")
+def run_work(context, seconds):
+    world = context.world
+    profiles = world.engine.core.profiles
+
+    def note_lasting():
+        context.lasting |= {profiles.find_lasting(w).slowness for w in world.factors}
+
+    world.run(seconds, check=note_lasting)
+
+
+@then("9 in 10 of the slow workers count as slower than every fast one")
+def check_ranked(context):
+    ranked, slow = context.world.count_ranked()
+    assert ranked >= 0.9 * slow, (ranked, slow)
+
+
+@then("the spread of the pool is known to be between {low:f} and {high:f}")
+def check_spread(context, low, high):
+    spread = context.world.engine.core.profiles.measure_spread("pool")
+    assert low < spread < high, spread
+
+
+@then("the lasting slowness of each was 1 at all times")
+def check_equal(context):
+    assert context.lasting == {1.0}, context.lasting
+
+
+@then("the spread of the pool is 0")
+def check_no_spread(context):
+    assert context.world.engine.core.profiles.measure_spread("pool") == 0.0
+
+
+@when("worker {number:d} turns {factor:f} times slower for {seconds:d} s")
+def slow_down(context, number, factor, seconds):
+    world, worker_id = context.world, f"w{number}"
+    context.slowed, context.factor = worker_id, factor
+    context.before = world.find(worker_id).slowness
+    world.factors[worker_id] *= factor
+    world.run(seconds)
+
+
+@when("it turns as fast as before for {seconds:d} s")
+def speed_up(context, seconds):
+    context.world.factors[context.slowed] /= context.factor
+    context.world.run(seconds)
+
+
+@when("nothing more runs on it for {seconds:d} s")
+def leave_idle(context, seconds):
+    context.world.engine.now += seconds
+
+
+@then("worker {number:d} counts as {factor:d} times slower than before")
+def check_slow(context, number, factor):
+    found = context.world.find(f"w{number}").slowness
+    assert found > factor * context.before, (found, context.before)
+
+
+@then("worker {number:d} counts as at most {factor:f} times slower than before")
+def check_usual(context, number, factor):
+    found = context.world.find(f"w{number}").slowness
+    assert found < factor * context.before, (found, context.before)
+
+
+def start_on(world, worker_id, name):
+    """Start a task that is alone on a worker, and return its placement."""
+    engine = world.engine
+    if name not in engine.core.jobs:
+        engine.submit(make_job(name, make_step(1, 1), attempts=9, at=engine.now))
+    unit = engine.find_unit(name)
+    engine.core.plan_run(unit, [worker_id])
+    engine.make_durable()
+    placements = engine.core.take_starts()
+    engine.accept(placements)
+    return placements[0]
+
+
+@when("tasks of {count:d} job fail on worker {number:d}")
+@when("tasks of {count:d} jobs fail on worker {number:d}")
+def fail_tasks(context, count, number):
+    for job in range(count):
+        placement = start_on(context.world, f"w{number}", f"bad-{job}")
+        context.world.engine.end(placement, "failed")
+
+
+@when("one task fails on {count:d} workers in turn")
+def fail_everywhere(context, count):
+    context.count = count
+    for number in range(count):
+        placement = start_on(context.world, f"w{number}", "bad")
+        context.world.engine.end(placement, "failed")
+
+
+@when("the tasks of {count:d} jobs stand still on worker {number:d}")
+def stall_tasks(context, count, number):
+    engine, worker_id = context.world.engine, f"w{number}"
+    for job in range(count):
+        start_on(context.world, worker_id, f"still-{job}")
+    worker = engine.core.workers[worker_id]
+    for _ in range(2):
+        rows = [RunningTask(p.task, p.run, "", 5) for p in worker.placements.values()]
+        engine.report(worker, rows)
+        engine.now += STALL_TIMEOUT_S + 0.1
+    engine.core.abort_stalled_runs(engine.now)
+
+
+@when("a task ends well on worker {number:d}")
+def end_well(context, number):
+    placement = start_on(context.world, f"w{number}", "good")
+    context.world.engine.end(placement, "done")
+
+
+@then("worker {number:d} is doubted by more than {least:f}")
+def check_doubted(context, number, least):
+    doubt = context.world.find(f"w{number}").doubt
+    assert doubt > least, doubt
+
+
+@then("worker {number:d} is doubted by less than {most:f}")
+def check_trusted(context, number, most):
+    context.doubted = f"w{number}"
+    doubt = context.world.find(context.doubted).doubt
+    assert 0 < doubt < most, doubt
+
+
+@then("worker {number:d} is not doubted")
+def check_cleared(context, number):
+    assert context.world.find(f"w{number}").doubt == 0.0
+
+
+@then("without news for {seconds:d} s it is not doubted")
+def check_faded(context, seconds):
+    context.world.engine.now += seconds
+    assert context.world.find(context.doubted).doubt == 0.0
+
+
+@then("each of them but the first is doubted by less than {most:f}")
+def check_blameless(context, most):
+    doubts = [context.world.find(f"w{n}").doubt for n in range(1, context.count)]
+    assert all(doubt < most for doubt in doubts), doubts
+
+
+@when("worker {number:d} is replaced by another incarnation")
+def replace_worker(context, number):
+    replace(context, number)
+
+
+@when("worker {number:d} is replaced by a larger one")
+def replace_by_larger(context, number):
+    replace(context, number, capacity=Resources(64000, 65536, 8))
+
+
+def replace(context, number, **changes):
+    core, now = context.world.engine.core, context.world.engine.now
+    entry = context.world.engine.entries[number]
+    context.before = core.profiles.find_lasting(entry.worker_id)
+    changed = dataclasses.replace(entry, worker_id=f"next-{number}", **changes)
+    core.unregister_worker(entry.worker_id)
+    core.register_worker(changed, now=now)
+    context.replaced = core.profiles.find(changed.worker_id, now)
+
+
+@then("the new worker has the profile of worker {number:d}")
+def check_inherited(context, number):
+    found, before = context.replaced, context.before
+    assert found.measured and found.slowness != 1.0, found
+    assert math.isclose(found.slowness, before.slowness, rel_tol=0.05), (found, before)
+
+
+@then("the new worker is unknown, and as uncertain as the pool")
+def check_new(context):
+    found = context.replaced
+    spread = context.world.engine.core.profiles.measure_spread("pool")
+    assert not found.measured and found.slowness == 1.0, found
+    assert math.isclose(found.spread, spread, rel_tol=0.05), (found, spread)
+
+
+@when("a new leader finds a task at {percent:d} per cent that takes 10 s")
+def find_task(context, percent):
+    engine = context.world.engine
+    start_on(context.world, "w4", "long")
+    engine.succeed()
+    report_percent(engine, percent)
+
+
+@when("{seconds:d} s later the task is at {percent:d} per cent")
+def find_task_later(context, seconds, percent):
+    context.world.engine.now += seconds
+    report_percent(context.world.engine, percent)
+
+
+def report_percent(engine, percent):
+    worker = engine.core.workers["w4"]
+    rows = [RunningTask(p.task, p.run, "", percent) for p in worker.placements.values()]
+    engine.report(worker, rows)
+
+
+@then("the task is expected to take {seconds:d} s in all")
+def check_run_time(context, seconds):
+    sample = context.world.engine.find_placement("long").sample
+    found = math.exp(sample.log_time)
+    assert math.isclose(found, seconds, rel_tol=0.05), found
--- a/features/steps/engine_speeds_steps.py
+++ b/features/steps/engine_speeds_steps.py
@@ -75,7 +75,7 @@
             self.step()
 
     def find(self, worker_id):
-        return self.engine.core.speeds.find_slowness(worker_id)
+        return self.engine.core.profiles.find(worker_id, self.engine.now).slowness
 
 
 @given("{count:d} workers that take {a:f}, {b:f} and {c:f} times as long by turns")
--- a/src/firladder/_internal/engine/answers.py
+++ b/src/firladder/_internal/engine/answers.py
@@ -65,6 +65,7 @@
         elif isinstance(answer, WorkerRefused) and unit is not None:
             worker.full_until = now + FULL_WORKER_BACKOFF_S
             record_failure(worker, unit.job.accepted.job_id, now)
+            self.profiles.record_failure(unit, placement, now)
 
     def handle_stop_answer(
         self, placement: Placement, answer: float | OrderFailure, now: float
--- a/src/firladder/_internal/engine/profiles.py
+++ b/src/firladder/_internal/engine/profiles.py
@@ -1,41 +1,118 @@
 """What is known of each worker's speed and reliability."""
 
 import dataclasses
+import math
 
+from ..models.workload import WorkerEntry
+from .doubts import (
+    compute_doubt,
+    count_good_run,
+    record_failed_run,
+    record_good_run,
+)
+from .machines import Machine, Machines, WorkerProfile
+from .slow_phases import Note
 from .speeds import Speeds
+from .state import Placement, Unit
 
+__all__ = ["UNKNOWN", "Profiles", "WorkerProfile"]
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WorkerProfile:
-    """What is known of a worker now.
-
-    ``slowness`` is the run time of a task there relative to a usual worker, and
-    ``spread`` the standard deviation of its logarithm. ``measured`` says whether
-    anything is known of this worker itself. ``doubt`` is the probability that a run
-    fails or stalls there through the worker's fault.
-    """
-
-    slowness: float = 1.0
-    spread: float = 0.0
-    measured: bool = False
-    doubt: float = 0.0
+MEASURED_SHARE = 0.2
+"""Precision of the observations relative to the pool's prior from which a worker counts
+as measured: the first per cent of one task tell next to nothing."""
 
+NOTED_DOUBT = 0.5
+"""Doubt from which a line is logged."""
 
 UNKNOWN = WorkerProfile()
 
 
 class Profiles:
-    """The profiles of all workers."""
+    """The profiles of all workers.
 
-    def __init__(self, speeds: Speeds) -> None:
-        """Derive the profiles from the learned ``speeds``."""
-        self._speeds = speeds
+    On a pool whose workers cannot be told apart (see ``PoolSpread``), slowness is 1
+    unless a worker is slow just now, so that decisions there do not depend on chance.
+    """
+
+    def __init__(self, note: Note) -> None:
+        """Start without any; ``note`` logs what changes decisions."""
+        self._note = note
+        self.machines = Machines()
+        self.speeds = Speeds(self.machines, note)
+
+    def bind(self, entry: WorkerEntry) -> None:
+        """Use the profile of the machine of a worker that has registered."""
+        self.machines.bind(entry)
 
     def find(self, worker_id: str, now: float) -> WorkerProfile:
         """Return the profile of a worker at ``now`` (monotonic seconds)."""
-        slowness = self._speeds.find_slowness(worker_id)
-        return WorkerProfile(slowness, measured=self._speeds.knows(worker_id))
+        machine = self.machines.find(worker_id)
+        if machine is None:
+            return UNKNOWN
+        profile = _find_lasting(machine)
+        phase = machine.slow
+        if now >= phase.until and not machine.broken:
+            return profile
+        factor = math.exp(phase.log_factor) if now < phase.until else 1.0
+        return dataclasses.replace(
+            profile,
+            slowness=profile.slowness * factor,
+            doubt=compute_doubt(machine, now),
+        )
+
+    def find_lasting(self, worker_id: str) -> WorkerProfile:
+        """Return a worker's profile without what concerns only this moment."""
+        machine = self.machines.find(worker_id)
+        return UNKNOWN if machine is None else _find_lasting(machine)
 
     def measure_spread(self, pool: str) -> float:
         """Return the standard deviation of the log slowness in a pool."""
-        return 0.0
+        found = self.machines.pools.get(pool)
+        return 0.0 if found is None else found.spread
+
+    def record_failure(self, unit: Unit, placement: Placement, now: float) -> None:
+        """Record that a run failed, stalled or was refused."""
+        machine = self.machines.obtain(placement.worker_id, unit.job.accepted.pool)
+        earlier = len(unit.failed_runs - {placement.run})
+        former = compute_doubt(machine, now)
+        doubt = record_failed_run(machine, now, failures=earlier)
+        if former < NOTED_DOUBT <= doubt:
+            self._note(
+                "worker doubted", worker=placement.worker_id, doubt=round(doubt, 2)
+            )
+
+    def record_stall(self, unit: Unit, placement: Placement, now: float) -> None:
+        """Record that a run stands still, once for each run."""
+        if not placement.stall_recorded:
+            placement.stall_recorded = True
+            self.record_failure(unit, placement, now)
+
+    def record_success(self, unit: Unit, placement: Placement) -> None:
+        """Record that a task has succeeded on its worker."""
+        machine = self.machines.obtain(placement.worker_id, unit.job.accepted.pool)
+        record_good_run(machine)
+        if placement.task.index == unit.indices[0]:
+            count_good_run(machine.pool)
+
+
+def _find_lasting(machine: Machine) -> WorkerProfile:
+    # This runs for each worker in each pass.
+    profile = machine.profile
+    if profile is None or machine.profile_epoch != machine.pool.epoch:
+        profile = _make_profile(machine)
+    return profile
+
+
+def _make_profile(machine: Machine) -> WorkerProfile:
+    """Return the lasting part of a worker's profile, and keep it."""
+    pool = machine.pool
+    known = machine.settled_precision + machine.precision
+    measured = known > MEASURED_SHARE * pool.prior_precision
+    if pool.distinct:
+        log_slowness = machine.mean - pool.centre if machine.measured else 0.0
+        spread = 1 / math.sqrt(machine.total_precision)
+        profile = WorkerProfile(math.exp(log_slowness), spread, measured)
+    else:
+        profile = WorkerProfile(measured=measured)
+    machine.profile, machine.profile_epoch = profile, pool.epoch
+    return profile
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -21,6 +21,7 @@
 
     def register_worker(self, entry: WorkerEntry, *, now: float) -> Worker:
         """Add a worker, or update it with its newest entry; return it."""
+        self.profiles.bind(entry)
         worker = self.workers.get(entry.worker_id)
         if worker is None:
             worker = self.workers[entry.worker_id] = Worker(entry)
@@ -77,6 +78,7 @@
                 # Recorded even while the run is given more time: nothing else should
                 # start on this worker.
                 quarantined = record_failure(worker, unit.job.accepted.job_id, now)
+                self.profiles.record_stall(unit, placement, now)
                 stall_timeout_s = choose_stall_timeout(unit, placement)
                 if not is_stalled(placement, now, longer_than=stall_timeout_s):
                     continue
@@ -202,9 +204,11 @@
             clear_failures(worker)
             self._learn_run_time(unit, placement, now)
             self.speeds.learn_from_end(unit, placement, now)
+            self.profiles.record_success(unit, placement)
         if ending != "failed":
             return
         unit.avoided.add(worker.worker_id)
+        self.profiles.record_failure(unit, placement, now)
         if record_failure(worker, unit.job.accepted.job_id, now):
             self.note("worker quarantined", worker=worker.worker_id, cause="failures")
 
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -21,7 +21,6 @@
 from .profiles import Profiles
 from .restarts import Restarts
 from .run_descriptions import Inputs, describe_alone, describe_done, describe_spread
-from .speeds import Speeds
 from .state import Job, JobState, Phase, Placement, Unit, UnitState, Worker
 from .unregistered import UnregisteredWorkers
 
@@ -87,8 +86,8 @@
         self.starts: list[Placement] = []
         self.stops: list[Placement] = []
         self.run_times: dict[tuple[str, int], float] = {}
-        self.speeds = Speeds()
-        self.profiles = Profiles(self.speeds)
+        self.profiles = Profiles(note)
+        self.speeds = self.profiles.speeds
         self.restarts = Restarts()
         self.charged = False
         """Whether some unit was charged with a crash, which is rare."""
@@ -324,7 +323,6 @@
         unit = placement.unit
         fresh = unit is not None and not unit.checkpoint
         placement.ran_from_start = placement.phase is Phase.SENT and fresh
-        placement.measures_speed = placement.ran_from_start
         placement.phase = Phase.ACTIVE
         placement.active_at = now - worked_s
         placement.progressed_at = now
@@ -396,6 +394,7 @@
         if worker is not None:
             worker.placements.pop(placement.key, None)
             self._remove_if_unused(worker)
+        self.speeds.settle(placement)
         unit = placement.unit
         if unit is not None:
             unit.placements.pop(placement.task.index, None)
@@ -434,7 +433,8 @@
     def _describe_done(self, unit: Unit, last: Placement) -> Inputs:
         members = (last, *unit.placements.values())
         slowness = {
-            p.worker_id: self.speeds.find_slowness(p.worker_id) for p in members
+            p.worker_id: self.profiles.find_lasting(p.worker_id).slowness
+            for p in members
         }
         return describe_done(unit, last, slowness)
 
--- a/src/firladder/_internal/engine/speeds.py
+++ b/src/firladder/_internal/engine/speeds.py
@@ -1,56 +1,48 @@
 """Learn how fast each worker is, from the tasks that run on it and elsewhere."""
 
-import dataclasses
 import math
 
-from .state import Placement, Unit
+from .machines import Machine, Machines
+from .pool_spread import PoolSpread
+from .slow_phases import Note, SlowPhases, Window
+from .speed_links import Sample, SpeedLink
+from .state import Phase, Placement, Unit
+from .step_times import StepTime, StepTimes
 
-TASK_VARIANCE = 0.15**2
-"""Variance of the logarithm of the run time of one step's tasks on equally fast
-workers: run times differ by about 15%."""
+MIN_PERCENT = 5.0
+"""Progress from which a task's run time is extrapolated."""
 
-WORKER_VARIANCE = 0.2**2
-"""Variance of the logarithm of a task's run time across the workers of a pool, which
-differ by up to a fourth either way."""
+ROUNDING_PERCENT = 0.3
+"""Standard error of progress in whole per cent (uniform over one per cent)."""
 
-CHANGE_VARIANCE = 0.04**2
-"""Variance of the change of a worker's log speed between two of its tasks."""
-
-DECLARED_VARIANCE = 1.0
-"""Initial variance of the logarithm of run time over declared time, until a queue's
-own is learned: some declared times are off by a factor of ten."""
-
-LEARNING_RATE = 0.05
-"""Weight of one task in the learned bias and variance of a queue's declared times."""
-
-MAX_LOG_SLOWNESS = 0.5
-"""Bound of the logarithm of a worker's slowness. A worker that is slow for some seconds
-is noticed within one task, and counts as normal again within a few."""
+TIME_ERROR_S = 0.05
+"""Standard error of when a task began and when its progress was read: orders and polls
+take some 20 ms each way."""
 
-MIN_PERCENT = 25.0
-"""Progress from which an active task's run time is extrapolated. Below it, rounding to
-whole per cent and the delay of the first poll distort the result too much."""
+DONE_PERCENT = 100.0
+"""Progress of a gang's member that is done and waits for the others."""
 
-MIN_DECLARED_S = 0.01
-"""Lower bound of declared times, of which some are zero."""
+PAIRED_PERCENT = 25.0
+"""Progress from which a task's residual is paired with others on its worker."""
 
-StepKey = tuple[str, int, int]
+MAX_PAIRED_VARIANCE = 0.3
+"""Variance of a step's estimate up to which a residual says something of the worker."""
 
+PAIRED_VARIANCE = 0.1
+"""Variance of a step's estimate at which a residual counts half: about that of its
+tasks."""
 
-@dataclasses.dataclass(slots=True)
-class _Estimate:
-    """An estimated logarithm and its variance."""
+MAX_KNOWN_VARIANCE = 0.08
+"""Variance of an expected run time up to which a task tells how tasks differ."""
 
-    value: float
-    variance: float
+MAX_PAIRED_RESIDUAL = 1.0
+"""Bound of a residual that is paired, so that no single task decides the spread."""
 
+MIN_INLIER_SHARE = 0.5
+"""Share from which an observation is taken for one of a usual task."""
 
-@dataclasses.dataclass(slots=True)
-class _DeclaredBias:
-    """The logarithm of run time over declared time of a queue's tasks."""
-
-    bias: float = 0.0
-    variance: float = DECLARED_VARIANCE
+CHANGE_VARIANCE = 0.04**2
+"""Variance of the change of a worker's log speed between two of its tasks."""
 
 
 class Speeds:
@@ -58,95 +50,227 @@
 
     Urgent work that is in time on a usual worker may be late on a slow one: when a
     third of a pool took a fourth longer, most late jobs ran there. Workers do not
-    report their speed. The logarithm of a task's run time is the sum of its step's and
-    its worker's, so both are estimated together, each in proportion to its variance
-    (a Kalman filter without the covariances between the two).
+    report their speed. The logarithm of a task's run time is the sum of its step's, of
+    its worker's slowness and of the task's own unevenness. Steps and workers are
+    estimated together: the tasks of a step on a worker tell the worker how much they
+    differ from what the other workers say of the step, and the step how much they
+    differ from what the other steps say of the worker (Gaussian belief propagation on
+    the graph of steps and workers, one update for each report).
     """
 
-    def __init__(self) -> None:
-        """Start without estimates: all workers count as equally fast."""
-        self._workers: dict[str, _Estimate] = {}
-        self._sum = 0.0
-        self._steps: dict[StepKey, _Estimate] = {}
-        self._queues: dict[str, _DeclaredBias] = {}
-
-    def find_slowness(self, worker_id: str) -> float:
-        """Return the run time of a task there relative to a usual worker."""
-        estimate = self._workers.get(worker_id)
-        if estimate is None:
-            return 1.0
-        # Only differences between workers are known: what they have in common is part
-        # of the estimates of the steps.
-        return math.exp(estimate.value - self._sum / len(self._workers))
-
-    def knows(self, worker_id: str) -> bool:
-        """Return whether anything was learned of a worker."""
-        return worker_id in self._workers
+    def __init__(self, machines: Machines, note: Note) -> None:
+        """Learn the speeds of ``machines``; ``note`` logs what changes decisions."""
+        self._note = note
+        self.machines = machines
+        self.steps = StepTimes()
+        self.slow_phases = SlowPhases(note)
+        self._links: dict[tuple[StepTime, Machine], SpeedLink] = {}
 
     def learn_from_progress(self, unit: Unit, placement: Placement, now: float) -> None:
-        """Learn from the progress of an active task, once per task."""
-        # A gang member that is done waits for the others at 100 per cent.
-        measurable = MIN_PERCENT <= placement.percent < 100
-        if placement.measures_speed and measurable and unit.all_active:
-            total_s = (now - unit.active_since) * 100 / placement.percent
-            self._learn(unit, placement, total_s)
+        """Learn from a report that lists an active task."""
+        sample = placement.sample
+        if sample is None:
+            if placement.phase is not Phase.ACTIVE or unit.step.lasting:
+                return
+            sample = self._begin(unit, placement, now)
+        if sample is None or sample.done:
+            return
+        percent = placement.percent
+        if percent >= DONE_PERCENT:
+            sample.done = True
+            self._learn_bound(sample, now)
+            return
+        self._judge(sample, percent, now)
+        done = percent + 0.5 - sample.began_percent
+        took_s = now - sample.began_at
+        if sample.window.disturbed or done < MIN_PERCENT or took_s <= 0:
+            return
+        noise = (ROUNDING_PERCENT / done) ** 2 + (TIME_ERROR_S / took_s) ** 2
+        sample.observe(math.log(took_s * 100 / done), noise, now)
+        if percent >= PAIRED_PERCENT and not sample.link.paired:
+            self._pair(sample)
 
     def learn_from_end(self, unit: Unit, placement: Placement, now: float) -> None:
-        """Learn from a task that succeeded before its progress could be used."""
-        # The members of a gang end together: the end of one says nothing about its
-        # worker.
-        if placement.measures_speed and len(unit.indices) == 1:
-            self._learn(unit, placement, now - placement.active_at)
+        """Learn from a task that has succeeded."""
+        sample = placement.sample
+        if sample is None:
+            if unit.step.lasting or not placement.ran_from_start:
+                return
+            sample = self._begin(unit, placement, now)
+        if sample is None or sample.done:
+            return
+        sample.done = True
+        alone = len(unit.indices) == 1
+        if alone and sample.exact and sample.log_time is None:
+            took_s = now - sample.began_at
+            if took_s > 0 and not sample.window.disturbed:
+                sample.observe(math.log(took_s), (TIME_ERROR_S / took_s) ** 2, now)
+            return
+        # The members of a gang end together: its end only bounds what each took.
+        self._learn_bound(sample, now)
+
+    def settle(self, placement: Placement) -> None:
+        """Keep what a task has told whose run is over."""
+        sample, placement.sample = placement.sample, None
+        if sample is None:
+            return
+        link = sample.link
+        if sample.log_time is not None:
+            # The step is known better now than when the progress was read.
+            sample.observe(sample.log_time, sample.noise, link.machine.changed_at)
+            if not link.paired:
+                self._pair(sample)
+            _learn_queue(sample)
+        link.running -= 1
+        if not link.running:
+            del self._links[link.step, link.machine]
+            _settle_link(link)
 
     def forget_worker(self, worker_id: str) -> None:
-        """Drop the estimate of a worker that is gone for good."""
-        estimate = self._workers.pop(worker_id, None)
-        if estimate is not None:
-            self._sum -= estimate.value
+        """Drop a worker that is gone; its machine's estimate is kept."""
+        self.machines.release(worker_id)
 
     def forget_job(self, job_id: str) -> None:
         """Drop the estimates of a job's steps."""
-        for key in [k for k in self._steps if k[0] == job_id]:
-            del self._steps[key]
+        self.steps.forget_job(job_id)
+
+    def update_pool(self, pool: PoolSpread) -> None:
+        """Apply a changed variance to all machines of a pool."""
+        for machine in self.machines:
+            if machine.pool is pool and machine.measured:
+                machine.update_mean()
+        pool.begin_epoch()
+
+    def _begin(self, unit: Unit, placement: Placement, now: float) -> Sample | None:
+        """Begin to observe a task once all members of its unit are active."""
+        alone = len(unit.indices) == 1
+        if not alone and not unit.all_active:
+            return None
+        began_at = placement.active_at if alone else unit.active_since
+        began_percent = 0.0
+        exact = placement.ran_from_start
+        if not exact:
+            # Work that was resumed, or that a former leader started: only the
+            # progress from here on is known.
+            began_at, began_percent = now, placement.percent + 0.5
+        link = self._obtain_link(unit, placement)
+        link.running += 1
+        window = Window(began_at, began_percent)
+        sample = Sample(link, began_at, began_percent, exact, window)
+        placement.sample = sample
+        return sample
+
+    def _obtain_link(self, unit: Unit, placement: Placement) -> SpeedLink:
+        machine = self.machines.obtain(placement.worker_id, unit.job.accepted.pool)
+        step = self.steps.obtain(unit)
+        link = self._links.get((step, machine))
+        if link is None:
+            link = self._links[step, machine] = SpeedLink(machine, step)
+            machine.running += 1
+        return link
+
+    def _judge(self, sample: Sample, percent: float, now: float) -> None:
+        """Compare the progress since the last report with what was expected."""
+        link = sample.link
+        if sample.log_time is None:
+            log_time, variance = link.predict()
+            variance += link.step.queue.task_variance
+        else:
+            log_time, variance = sample.log_time, sample.noise
+        self.slow_phases.judge(
+            link.machine,
+            link.step.job_id,
+            sample.window,
+            percent,
+            now,
+            log_time=log_time,
+            variance=variance,
+            own=sample.log_time is not None,
+        )
 
-    def _learn(self, unit: Unit, placement: Placement, took_s: float) -> None:
-        placement.measures_speed = False
-        if took_s <= 0:
+    @staticmethod
+    def _learn_bound(sample: Sample, now: float) -> None:
+        """Learn from a member that was done at some time before ``now``."""
+        took_s = now - sample.began_at
+        if took_s <= 0 or sample.window.disturbed or not sample.exact:
             return
-        log_run_time = math.log(took_s)
-        step = self._find_step(unit)
-        worker = self._workers.setdefault(
-            placement.worker_id, _Estimate(0.0, WORKER_VARIANCE)
-        )
-        self._sum -= worker.value
-        residual = log_run_time - step.value - worker.value
-        total = step.variance + worker.variance + TASK_VARIANCE
-        for estimate in (step, worker):
-            share = estimate.variance / total
-            estimate.value += share * residual
-            estimate.variance *= 1 - share
-        worker.value = max(-MAX_LOG_SLOWNESS, min(MAX_LOG_SLOWNESS, worker.value))
-        worker.variance += CHANGE_VARIANCE
-        self._sum += worker.value
-        self._update_declared_bias(unit, log_run_time - worker.value)
-
-    def _find_step(self, unit: Unit) -> _Estimate:
-        accepted = unit.job.accepted
-        key = (accepted.job_id, unit.occurrence, unit.step_index)
-        known = self._steps.get(key)
-        if known is None:
-            declared = self._queues.setdefault(accepted.queue, _DeclaredBias())
-            value = _compute_log_declared(unit) + declared.bias
-            known = self._steps[key] = _Estimate(value, declared.variance)
-        return known
-
-    def _update_declared_bias(self, unit: Unit, log_run_time: float) -> None:
-        declared = self._queues[unit.job.accepted.queue]
-        residual = log_run_time - _compute_log_declared(unit) - declared.bias
-        declared.bias += LEARNING_RATE * residual
-        declared.variance += LEARNING_RATE * (residual * residual - declared.variance)
-
-
-def _compute_log_declared(unit: Unit) -> float:
-    """Return the logarithm of the declared time."""
-    return math.log(max(unit.step.estimate_s, MIN_DECLARED_S))
+        bound = math.log(took_s)
+        if sample.log_time is not None:
+            if sample.log_time > bound:
+                sample.observe(bound, sample.noise, now)
+        elif sample.link.predict()[0] > bound:
+            # It took at most this long, which is less than expected.
+            sample.observe(bound, (TIME_ERROR_S / took_s) ** 2, now)
+            sample.link.paired = True
+
+    def _pair(self, sample: Sample) -> None:
+        """Pair the residual of a step's tasks with those of other jobs there."""
+        link = sample.link
+        machine, job_id = link.machine, link.step.job_id
+        step_mean, step_variance = link.estimate_step()
+        if sample.inlier_share < MIN_INLIER_SHARE or link.precision <= 0:
+            return
+        if step_variance > MAX_PAIRED_VARIANCE:
+            return
+        link.paired = True
+        residual = link.weighted / link.precision - step_mean
+        residual = max(-MAX_PAIRED_RESIDUAL, min(MAX_PAIRED_RESIDUAL, residual))
+        weight = PAIRED_VARIANCE / (PAIRED_VARIANCE + step_variance)
+        pool = machine.pool
+        others = [row for row in machine.residuals if row[0] != job_id]
+        machine.residuals.append((job_id, weight * residual, weight))
+        pool.add_residual(weight * residual, len(others))
+        if not others:
+            return
+        former = (machine.product_sum, machine.product_weight)
+        machine.product_sum += weight * residual * sum(row[1] for row in others)
+        machine.product_weight += weight * sum(row[2] for row in others)
+        pool.replace_products(former, (machine.product_sum, machine.product_weight))
+        differed = pool.distinct
+        if pool.update_variance():
+            self.update_pool(pool)
+        if pool.distinct is not differed:
+            self._note(
+                "speeds of workers differ" if pool.distinct else "workers equally fast",
+                pool=pool.name,
+                spread=round(pool.spread, 3),
+                pairs=pool.pairs,
+            )
+
+
+def _learn_queue(sample: Sample) -> None:
+    """Learn how a queue's tasks and steps differ."""
+    step = sample.link.step
+    if sample.inlier_share < MIN_INLIER_SHARE or sample.log_time is None:
+        return
+    mean, variance = sample.link.predict()
+    if variance < MAX_KNOWN_VARIANCE:
+        square = (sample.log_time - mean) ** 2 - variance - sample.noise
+        step.queue.add_task(square)
+    if not step.learned:
+        step.learned = True
+        step.queue.add_step(step.weighted / step.precision, step.log_declared)
+
+
+def _settle_link(link: SpeedLink) -> None:
+    """Add what tasks told of a machine to its lasting estimate."""
+    machine = link.machine
+    machine.precision -= link.machine_precision
+    machine.weighted -= link.machine_weighted
+    machine.settled_precision += link.machine_precision
+    machine.settled_weighted += link.machine_weighted
+    machine.running -= 1
+    if not machine.running:
+        # Differences of sums leave rounding errors.
+        machine.precision = machine.weighted = 0.0
+    if link.machine_precision:
+        _age(machine)
+        machine.update_mean()
+
+
+def _age(machine: Machine) -> None:
+    """Widen a machine's estimate by what its speed may have changed."""
+    precision = machine.settled_precision
+    aged = precision / (1 + precision * CHANGE_VARIANCE)
+    machine.settled_weighted *= aged / precision
+    machine.settled_precision = aged
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -4,12 +4,16 @@
 import enum
 import itertools
 import math
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from ..models.order import TaskId
 from ..models.workload import AcceptedJob, Resources, Step, WorkerEntry
 
+if TYPE_CHECKING:
+    from .speed_links import Sample
+
 MAX_ENTRY_DELAY_S = 0.5
 """Seconds that a worker's entry takes to its leader at most."""
 
@@ -87,8 +91,8 @@
     later and does not list the task proves that it is not there.
 
     ``ran_from_start`` says that the task started under this leader and without a
-    checkpoint, so that its run time can be learned; ``measures_speed`` says that,
-    in addition, its worker's speed has not been learned from it yet.
+    checkpoint, so that its run time can be learned; ``sample`` is what its progress
+    has told of its worker's speed.
 
     ``reported`` says that the worker has listed the run as running, so it will list
     its end too. ``may_start_late`` says that one copy of its start order got no
@@ -112,7 +116,8 @@
     first_percent: float | None = None
     progressed_at: float = 0.0
     ran_from_start: bool = False
-    measures_speed: bool = False
+    sample: "Sample | None" = None
+    stall_recorded: bool = False
     stop_sent_at: float = -math.inf
     stop_answered: bool = False
     reported: bool = False
