Log what the delay of a job and the loss of work follow from

'job planned': members, cores, racks, slowness, usual_s. 'run ended': occurrence, saved. - 'urgent work began': occurrence, index, orders_s, ran_s. 'work began' is the same for other gangs, and for single tasks that waited for 0.1 s. A line for each small task would come near the 150 lines a second that a node may write. - 'end durable late': an end that took the store 0.1 s or more.

--- a/features/node_logs.feature
+++ b/features/node_logs.feature
@@ -57,3 +57,40 @@
     When its members are active 0.4 s and 0.9 s later
     And one of its members ends
     Then one decision "urgent work ended" names that member's worker
+
+  Scenario: The end of a job is logged with what its objective follows from
+    Guards against late jobs that no log shows to be late: the declared time is far off.
+    Given an engine with 2 workers of 8 accelerators
+    And an urgent gang of 2 that is planned
+    When its starts are due 0.1 s later
+    And its members are active 0.4 s and 0.9 s later
+    And its first member is done 1.5 s after its start
+    Then the decision "urgent work began" has "orders_s" 0.9
+    And the decision "job ended" has "work_s" 1.5
+    And the decision "job ended" has "stretch" 3.0
+    And the decision "job ended" has "slo_s" 1.0
+
+  Scenario Outline: The begin of a single task is logged only if it waited
+    Guards against a line for each small task of a day: the lines of a busy leader would
+    be dropped, and with them those of late jobs.
+    Given an engine with 2 workers of 8 accelerators
+    And a task of low priority that is planned
+    When it is active <waited> s later
+    Then there are <lines> decisions "work began"
+
+    Examples:
+      | waited | lines |
+      | 0.05   | 0     |
+      | 0.2    | 1     |
+
+  Scenario Outline: An end that is durable late is logged
+    Guards against jobs that are done in time and shown as completed too late, without
+    a trace in the log.
+    Given a job that has ended
+    When the store takes <took> s to record it
+    Then <lines> line "end durable late" names the job
+
+    Examples:
+      | took | lines |
+      | 0.02 | 0     |
+      | 0.4  | 1     |
--- a/features/steps/node_log_steps.py
+++ b/features/steps/node_log_steps.py
@@ -1,5 +1,8 @@
+import asyncio
 import json
+import logging
 import os
+from unittest import mock
 
 from behave import given, then, when
 
@@ -14,6 +17,7 @@
 )
 from firladder._internal.network.traffic import TrafficMeter
 from firladder._internal.node.leader_load import LeaderLoad
+from firladder._internal.node.progress_writer import ProgressWriter
 from firladder._internal.utils.streams import BoundedStream
 from standins.site import reserve_port_block
 
@@ -253,3 +257,97 @@
     inputs = find_decision(context, "urgent work ended")
     assert inputs["worker"] == context.members[0].worker_id, inputs
     assert inputs["slowness"] == 1.0, inputs
+
+
+@when("its starts are due {seconds:f} s later")
+def make_due(context, seconds):
+    engine = context.engine
+    for member in context.members:
+        engine.core.record_start_due(member, engine.now + seconds)
+    engine.now += seconds
+
+
+@when("its first member is done {seconds:f} s after its start")
+def finish_member(context, seconds):
+    engine, member = context.engine, context.members[0]
+    # The report that tells the end comes 0.01 s later.
+    engine.now = member.active_at + seconds - 0.01
+    engine.end(member, "done")
+
+
+@then('the decision "{what}" has "{name}" {value:f}')
+def check_input(context, what, name, value):
+    inputs = find_decision(context, what)
+    assert inputs[name] == value, inputs
+
+
+@given("a task of low priority that is planned")
+def plan_task(context):
+    engine = context.engine
+    engine.now += 1.0
+    engine.submit(make_job("small", make_step(1), priority=2, at=engine.now))
+    context.members = engine.start_all()
+    record_decisions(context)
+
+
+@when("it is active {seconds:f} s later")
+def activate_task(context, seconds):
+    context.engine.now += seconds
+    context.engine.accept(context.members)
+
+
+@then('there are {count:d} decisions "{what}"')
+def check_decision_count(context, count, what):
+    assert [name for name, _ in context.decisions].count(what) == count
+
+
+class VirtualClock:
+    now = 1000.0
+
+    def read_wall(self) -> float:
+        return self.now
+
+    read_monotonic = read_wall
+
+
+class SlowStore:
+    """A store whose writes take a time on the clock that it is given."""
+
+    def __init__(self, clock: VirtualClock, took_s: float) -> None:
+        self._clock, self._took_s = clock, took_s
+
+    async def commit(self, **_written) -> int:
+        self._clock.now += self._took_s
+        return 7
+
+
+@given("a job that has ended")
+def end_job(context):
+    engine = context.engine = EngineWorld(2)
+    engine.submit(make_job("late", make_step(1)))
+    (member,) = engine.start_all()
+    engine.accept([member])
+    engine.end(member, "done")
+
+
+@when("the store takes {seconds:f} s to record it")
+def record_end(context, seconds):
+    clock = VirtualClock()
+    writer = ProgressWriter(
+        core=context.engine.core,
+        store=SlowStore(clock, seconds),
+        token=1,
+        revisions={},
+        clock=clock,
+        on_durable=lambda: None,
+    )
+    context.log_records = []
+    logger = logging.getLogger("firladder._internal.node.progress_writer")
+    with mock.patch.object(logger, "handle", context.log_records.append):
+        asyncio.run(writer._write_batch())
+
+
+@then('{count:d} line "end durable late" names the job')
+def check_late_end(context, count):
+    found = [r for r in context.log_records if r.getMessage() == "end durable late"]
+    assert [r.job for r in found] == ["late"] * count, found
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -214,4 +214,5 @@
         key = (unit.job.accepted.queue, unit.step_index)
         run_time_s = now - placement.active_at
         former = self.run_times.get(key, run_time_s)
+        unit.work_s = unit.work_s or run_time_s / self._find_slowest(unit)
         self.run_times[key] = former + 0.2 * (run_time_s - former)
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -20,7 +20,16 @@
 from .crashes import uses_up_crashes
 from .profiles import Profiles
 from .restarts import Restarts
-from .run_descriptions import Inputs, describe_alone, describe_done, describe_spread
+from .run_descriptions import (
+    Inputs,
+    describe_alone,
+    describe_begin,
+    describe_done,
+    describe_end,
+    describe_job_end,
+    describe_size,
+    describe_spread,
+)
 from .speeds import Speeds
 from .state import Job, JobState, Phase, Placement, Unit, UnitState, Worker
 from .unregistered import UnregisteredWorkers
@@ -32,6 +41,10 @@
 NOTED_START_SPREAD_S = 1.0
 """Seconds between the starts of a gang's members from which they are logged."""
 
+NOTED_WAIT_S = 0.1
+"""Seconds from which the wait of a single task is logged. A line for each of the small
+tasks of a day would come near the number of lines that a node may write."""
+
 START_WINDOW_SHARE = 0.5
 """Share of the time for which members wait for each other within which all members of
 a gang must have started. The rest is left for the stops: a member that is not stopped
@@ -111,6 +124,7 @@
         unit.run += 1
         unit.state = UnitState.BUSY
         unit.first_start_at = None
+        unit.durable_at = None
         unit.waiting_since = -1.0
         for index, worker_id in zip(unit.indices, workers, strict=True):
             task = unit.name_task(index)
@@ -130,6 +144,9 @@
             index=unit.indices[0],
             run=unit.run,
             workers=sorted({p.worker_id for p in unit.placements.values()}),
+            slowness=round(self._find_slowest(unit), 2),
+            usual_s=round(self.estimate_run(unit), 3),
+            **describe_size(unit, self.workers),
         )
 
     def preempt(self, unit: Unit) -> None:
@@ -194,6 +211,11 @@
         if placement.phase is Phase.STOPPING:
             self._resolve(worker, placement, None)
 
+    def record_start_due(self, placement: Placement, now: float) -> None:
+        """Record that the start of a durable run is queued."""
+        if placement.unit is not None and placement.unit.durable_at is None:
+            placement.unit.durable_at = now
+
     def record_start_sent(self, placement: Placement, now: float) -> None:
         """Record that a start is sent: from now on its unit's members may wait."""
         unit = placement.unit
@@ -299,7 +321,7 @@
         job.state = state
         self._mark_changed(job)
         job.outcome_version = job.version
-        self.note("job ended", job=job.accepted.job_id, outcome=state.value)
+        self.note("job ended", **describe_job_end(job, self.run_times))
         self._stop_all(job)
 
     def _stop_all(self, job: Job) -> None:
@@ -334,14 +356,19 @@
             unit.job.state = JobState.RUNNING
         if unit is not None and placement.ran_from_start:
             self._note_spread(unit, placement)
-        if unit is not None and unit.job.accepted.priority == 0 and unit.all_active:
-            self.note(
-                "urgent work began",
-                job=unit.job.accepted.job_id,
-                step=unit.step_index,
-                run=unit.run,
-                waited_s=round(now - unit.ready_at, 3),
-            )
+        if unit is not None and unit.all_active:
+            self._note_begin(unit, now)
+
+    def _note_begin(self, unit: Unit, now: float) -> None:
+        """Log that a unit is at work, except a single task that began soon."""
+        if unit.job.accepted.priority == 0:
+            self.note("urgent work began", **describe_begin(unit, now))
+        elif len(unit.indices) > 1 or 0 <= unit.ready_at <= now - NOTED_WAIT_S:
+            self.note("work began", **describe_begin(unit, now))
+
+    def _find_slowest(self, unit: Unit) -> float:
+        workers = (p.worker_id for p in unit.placements.values())
+        return max(map(self.speeds.find_slowness, workers), default=1.0)
 
     def _note_spread(self, unit: Unit, last: Placement) -> None:
         """Log a gang whose members started far apart: the first ones waited."""
@@ -420,15 +447,7 @@
             return
         if ending == "alone":
             self.note("member ended alone", **describe_alone(unit, placement))
-        self.note(
-            "run ended",
-            job=unit.job.accepted.job_id,
-            step=unit.step_index,
-            index=placement.task.index,
-            run=placement.run,
-            worker=worker.worker_id,
-            how=ending or "not there",
-        )
+        self.note("run ended", **describe_end(unit, placement, ending))
         self._abort_run(unit)
 
     def _describe_done(self, unit: Unit, last: Placement) -> Inputs:
--- a/src/firladder/_internal/node/client_api.py
+++ b/src/firladder/_internal/node/client_api.py
@@ -183,6 +183,7 @@
             organisation=organisation.name,
             configuration=self._node.configuration.version,
             outcome=type(result).__name__,
+            took_s=round(self._node.clock.read_wall() - accepted.accepted_at_s, 3),
         )
         if not isinstance(result, Stored):
             return reply_failure(result)
--- a/src/firladder/_internal/node/order_sender.py
+++ b/src/firladder/_internal/node/order_sender.py
@@ -94,6 +94,7 @@
         """
         now = self._context.clock.read_monotonic()
         if start:
+            self._core.record_start_due(placement, now)
             self._orders.add_start(placement, now)
         elif self._orders.has_unsent_start(placement):
             self._core.drop_unsent(placement)
--- a/src/firladder/_internal/node/progress_writer.py
+++ b/src/firladder/_internal/node/progress_writer.py
@@ -22,6 +22,10 @@
 RETRY_S = 0.1
 """Seconds before a failed write is retried."""
 
+LATE_END_S = 0.1
+"""Seconds from which the time until an end is durable is logged. A write takes 4 ms,
+and callers ask for the state some ten times a second."""
+
 BATCH_DELAY_S = 0.002
 """Seconds for which changes are collected into one write: runs end in groups, and each
 write is billed and takes the store 4 ms."""
@@ -96,6 +100,7 @@
             for job_id, version in versions.items():
                 self._revisions[job_id] = result
                 self._core.mark_durable(job_id, version)
+                self._note_late_end(jobs[job_id], version)
             self._on_durable()
             return None
         if isinstance(result, Conflict):
@@ -104,6 +109,15 @@
             return NotLeader(reason=result.reason)
         return result
 
+    def _note_late_end(self, job: Job, version: int) -> None:
+        took_s = self._clock.read_wall() - job.ended_at
+        if version != job.outcome_version or not job.settled or took_s < LATE_END_S:
+            return
+        logger.info(
+            "end durable late",
+            extra={"job": job.accepted.job_id, "took_s": round(took_s, 3)},
+        )
+
     def _encode(self, job: Job) -> bytes:
         if job.state in TERMINAL and not job.ended_at:
             job.ended_at = self._clock.read_wall()
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -68,6 +68,7 @@
         "crash charged",
         "gang aborted",
         "gang apart",
+        "job ended",
         "member ended alone",
         "runs lapsed",
         "worker lost",
