--- a/src/firladder/_internal/commands/registry.py
+++ b/src/firladder/_internal/commands/registry.py
@@ -50,6 +50,9 @@
     "check": CommandInfo("check", "CheckCommand", "check a configuration offline"),
     "status": CommandInfo("status", "StatusCommand", "show the fleet"),
     "timeline": CommandInfo("timeline", "TimelineCommand", "merge all events"),
+    "delays": CommandInfo(
+        "delays", "DelaysCommand", "tell which stage delayed each job of a day"
+    ),
     "evaluate": CommandInfo("evaluate", "EvaluateCommand", "compare job policies"),
     "evaluate_requests": CommandInfo(
         "evaluate_requests", "EvaluateRequestsCommand", "compare request policies"
