--- a/features/steps/product_docs_steps.py
+++ b/features/steps/product_docs_steps.py
@@ -30,6 +30,8 @@
         Path(directory, "changes.json").write_text(self.changes)
         Path(directory, "workers.json").write_text(json.dumps(workers))
         Path(directory, "week.json").write_text('{"athlete": 17}')
+        for log in ("node-1.log", "node-2.log"):
+            Path(directory, log).touch()
         variables = {**os.environ, "FIRLADDER_GATEWAY": site.gateway()}
         return [self.run_line(line, directory, variables) for line in self.lines]
 
