--- a/features/steps/engine_days_steps.py
+++ b/features/steps/engine_days_steps.py
@@ -153,8 +153,7 @@
     """Plans without the caches of a pass."""
 
     def __init__(self, core, **settings):
-        super().__init__(core, **settings)
-        self._estimates = UncachedEstimates(core)
+        super().__init__(core, **settings, estimates=UncachedEstimates(core))
         self._shortages = UncachedShortages()
 
 
--- a/features/steps/engine_policy_steps.py
+++ b/features/steps/engine_policy_steps.py
@@ -275,7 +275,7 @@
     worker = engine.core.workers[engine.find_placement("leaving").worker_id]
     entry = dataclasses.replace(worker.entry, draining=True, leaves_in_s=seconds)
     engine.core.register_worker(entry, now=engine.now)
-    engine.planner.move_off_draining(engine.now)
+    engine.planner.move_units(engine.now)
 
 
 @then("the job is not moved")
--- a/src/firladder/_internal/engine/draining.py
+++ b/src/firladder/_internal/engine/draining.py
@@ -5,6 +5,7 @@
 from .core import Core
 from .estimates import Estimates
 from .state import Phase, Unit, UnitState
+from .strategy_kinds import MOVES, PlannerSettings
 
 CHECKPOINT_STOP_S = 0.8
 """How long before a worker leaves work that saves checkpoints is stopped there: the
@@ -15,6 +16,23 @@
 stay; it usually stays a little longer."""
 
 
+@MOVES.register("off_draining")
+class OffDraining:
+    """Moves units off draining workers that leave before the units are done.
+
+    Load: a rolling update, and workers that are withdrawn at short notice.
+    """
+
+    def __init__(self, settings: PlannerSettings) -> None:
+        """Judge by the estimates of ``settings``."""
+        self._core = settings.core
+        self._estimates = settings.estimates
+
+    def list_units(self, now: float) -> Iterator[Unit]:
+        """Yield the units that must be stopped now."""
+        return list_units_to_move(self._core, self._estimates, now)
+
+
 def list_units_to_move(core: Core, estimates: Estimates, now: float) -> Iterator[Unit]:
     """Yield the units that must be stopped now; stop each before asking for the next.
 
--- a/src/firladder/_internal/engine/placement.py
+++ b/src/firladder/_internal/engine/placement.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from ..models.workload import Resources, Step
+from .preferences import BEST_FIT, Preference
 from .profiles import UNKNOWN, WorkerProfile
 from .state import Worker
 
@@ -15,7 +16,7 @@
 """A task count that is larger than any worker can hold."""
 
 Rank = tuple[float, int, int, str]
-"""Slowness, accelerators and memory (MB) left, and the id of a worker."""
+"""A worker's preference rank, its accelerators and memory (MB) left, and its id."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -58,20 +59,16 @@
     return max(0, fitting) if fitting < UNBOUNDED else 1
 
 
-def rank_fit(
-    candidate: Candidate, free: Resources, need: Resources, *, fast_first: bool = False
-) -> Rank:
-    """Rank a worker with ``free`` capacity for a task; the lowest rank is the best.
+def rank_fit(candidate: Candidate, need: Resources, preferred: float) -> Rank:
+    """Rank a worker for a task after its ``preferred`` rank; the lowest is the best.
 
     This is best fit: with tasks of 1 and of 8 accelerators, small tasks go where they
     leave the least capacity, so that whole workers stay free for large tasks. Those
     would otherwise wait until a worker becomes empty by chance.
-
-    ``fast_first`` ranks by the worker's speed first: urgent work has only half of its
-    run time to spare, and a slow worker uses up most of that.
     """
+    free = candidate.free
     return (
-        round(candidate.slowness, 1) if fast_first else 1.0,
+        preferred,
         free.accelerators - need.accelerators,
         free.memory_mb - need.memory_mb,
         candidate.worker_id,
@@ -140,13 +137,13 @@
     candidates: Sequence[Candidate],
     taken: Mapping[str, int],
     *,
-    fast_first: bool = False,
+    preference: Preference = BEST_FIT,
 ) -> list[str] | None:
     """Return a worker for each of ``count`` tasks, or None if not all of them fit.
 
     ``taken`` maps workers to the number of the step's tasks that they already have.
     """
-    fits = _list_fits(step, count, candidates, taken, fast_first=fast_first)
+    fits = _list_fits(step, count, candidates, taken, preference=preference)
     if sum(fit.tasks for fit in fits) < count:
         return None
     # A worker that has got a task has even less free capacity than before, so it is
@@ -175,11 +172,12 @@
     candidates: Iterable[Candidate],
     taken: Mapping[str, int],
     *,
-    fast_first: bool,
+    preference: Preference,
 ) -> list[_Fit]:
     """Return the workers that take at least one of the step's tasks."""
     need, limit = step.need, step.most_per_worker
     anywhere = need == Resources()
+    prefer = preference.rank
     fits = []
     # This runs for each worker and each unit that is placed.
     for candidate in candidates:
@@ -190,7 +188,7 @@
         if limit:
             fitting = min(fitting, limit - taken.get(candidate.worker_id, 0))
         if fitting > 0:
-            rank = rank_fit(candidate, free, need, fast_first=fast_first)
+            rank = rank_fit(candidate, need, prefer(candidate))
             fits.append(_Fit(rank, fitting, candidate))
     return fits
 
@@ -213,7 +211,7 @@
     taken: Mapping[str, int],
     *,
     run_time_s: float,
-    fast_first: bool,
+    preference: Preference,
 ) -> list[Candidate]:
     """Return the workers for single tasks of a step, in the order to fill them.
 
@@ -222,7 +220,7 @@
     suitable = list_suitable(step, candidates, (), run_time_s=run_time_s)
     if step.rack:
         suitable = [c for c in suitable if c.rack == step.rack]
-    fits = _list_fits(step, 1, suitable, taken, fast_first=fast_first)
+    fits = _list_fits(step, 1, suitable, taken, preference=preference)
     fits.sort(key=_get_rank)
     return [fit.candidate for fit in fits]
 
@@ -236,7 +234,7 @@
     taken: dict[str, int] | None = None,
     spread_allowed: bool = False,
     run_time_s: float = 0.0,
-    fast_first: bool = False,
+    preference: Preference = BEST_FIT,
 ) -> list[str] | None:
     """Return a worker for each of ``count`` tasks, or None.
 
@@ -249,16 +247,16 @@
     held = taken or {}
     if step.rack:
         in_rack = [c for c in suitable if c.rack == step.rack]
-        found = assign_tasks(step, count, in_rack, held, fast_first=fast_first)
+        found = assign_tasks(step, count, in_rack, held, preference=preference)
         if found is not None or not spread_allowed:
             return found
     if step.one_rack and count > 1:
-        found = _choose_rack(step, count, suitable, held, fast_first=fast_first)
+        found = _choose_rack(step, count, suitable, held, preference=preference)
         if found is not None:
             return found
         if not spread_allowed and fits_one_rack(step, count, candidates):
             return None
-    return assign_tasks(step, count, suitable, held, fast_first=fast_first)
+    return assign_tasks(step, count, suitable, held, preference=preference)
 
 
 def _choose_rack(
@@ -267,17 +265,17 @@
     candidates: Sequence[Candidate],
     taken: Mapping[str, int],
     *,
-    fast_first: bool,
+    preference: Preference,
 ) -> list[str] | None:
     """Return a gang's workers on the rack with the least that suffices.
 
-    With ``fast_first`` the slowness of the gang's slowest worker goes before that.
-    Racks are tried from the least on, and only as long as one may be better.
+    The gang's preference goes before that. Racks are tried from the least on, and only
+    as long as one may be better.
     """
     needed = count * step.need.accelerators
     racks = [
         (
-            min(round(c.slowness, 1) for c in rack) if fast_first else 1.0,
+            preference.find_bound(rack),
             sum(c.free.accelerators for c in rack),
             number,
             rack,
@@ -287,18 +285,13 @@
         if sum(max(0, c.free.accelerators) for c in rack) >= needed
     ]
     best: tuple[float, int, list[str]] | None = None
-    for least_slowness, free, _, rack in sorted(racks):
-        if best is not None and (least_slowness, free) > best[:2]:
+    for bound, free, _, rack in sorted(racks):
+        if best is not None and (bound, free) > best[:2]:
             break
-        found = assign_tasks(step, count, rack, taken, fast_first=fast_first)
+        found = assign_tasks(step, count, rack, taken, preference=preference)
         if found is None:
             continue
-        slowness = _find_gang_slowness(rack, found) if fast_first else 1.0
-        row = (slowness, free, found)
+        members = [c for c in rack if c.worker_id in found]
+        row = (preference.rank_gang(members), free, found)
         best = row if best is None else min(best, row)
     return None if best is None else best[2]
-
-
-def _find_gang_slowness(rack: Sequence[Candidate], chosen: Sequence[str]) -> float:
-    """Return the slowness of the slowest chosen worker, which determines a gang's."""
-    return max(round(c.slowness, 1) for c in rack if c.worker_id in chosen)
--- a/src/firladder/_internal/engine/preemption.py
+++ b/src/firladder/_internal/engine/preemption.py
@@ -30,6 +30,11 @@
     cost: float
 
 
+def count_cores(need: Resources) -> float:
+    """Return the cores that lost work of this size counts for."""
+    return need.cpu_milli / 1000 + need.accelerators * ACCELERATOR_CORES
+
+
 def estimate_loss(unit: Unit, now: float, *, restart_s: float) -> float:
     """Return the work that is lost when a unit is stopped, in core-seconds.
 
@@ -37,8 +42,7 @@
     ``restart_s`` for the stop and the restore. Earlier lost runs add to the cost, even
     if the current run is not active yet.
     """
-    need = unit.step.need
-    cores = need.cpu_milli / 1000 + need.accelerators * ACCELERATOR_CORES
+    cores = count_cores(unit.step.need)
     lost_before = cores * len(unit.indices) * LOST_RUN_PENALTY_S * (unit.run - 1)
     active = [p for p in unit.placements.values() if p.active_at]
     if not active:
--- /dev/null
+++ b/src/firladder/_internal/engine/strategy_kinds.py
@@ -0,0 +1,102 @@
+"""The kinds of strategies that a planner is made of, and their registries."""
+
+import dataclasses
+from collections.abc import Collection, Iterable, Sequence
+from typing import Protocol
+
+from ..policies.registry import Registry
+from .core import Core
+from .estimates import Estimates
+from .placement import Candidate
+from .pool_view import PoolView
+from .preemption import PreemptionPlan
+from .preferences import Preference
+from .state import Unit
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlannerSettings:
+    """What strategies decide by, apart from the units and the workers.
+
+    ``reclaim_s`` is the time within which guaranteed urgent work must start;
+    ``restart_s`` is what a task that saves checkpoints loses by a stop.
+    """
+
+    core: Core
+    estimates: Estimates
+    reclaim_s: float
+    restart_s: float
+
+
+class Order(Protocol):
+    """Which waiting work is placed first.
+
+    With ``strict``, nothing is placed after the first unit that does not fit.
+    """
+
+    strict: bool
+
+    def rank(self, unit: Unit, wall: float) -> tuple[float, ...]:
+        """Rank a waiting unit; the lowest rank goes first."""
+
+
+class Fit(Protocol):
+    """On which workers a unit is placed."""
+
+    def begin_pass(self, view: PoolView, now: float, wall: float) -> None:
+        """Start a pass over the workers in ``view``."""
+
+    def choose_preference(self, unit: Unit, pool: Sequence[Candidate]) -> Preference:
+        """Return which workers of its pool the unit takes first."""
+
+
+class Victims(Protocol):
+    """Which running work is preempted for an urgent unit."""
+
+    def choose(
+        self,
+        unit: Unit,
+        pool: Sequence[Candidate],
+        now: float,
+        *,
+        avoided: Collection[str],
+        spread_allowed: bool,
+    ) -> PreemptionPlan | None:
+        """Return the units to stop now, or None."""
+
+
+class Move(Protocol):
+    """Which running work is stopped to run on other workers."""
+
+    def list_units(self, now: float) -> Iterable[Unit]:
+        """Yield the units to stop; each is stopped before the next is asked for."""
+
+
+class MakeOrder(Protocol):
+    """Makes an order for a planner."""
+
+    def __call__(self, settings: PlannerSettings) -> Order: ...
+
+
+class MakeFit(Protocol):
+    """Makes a fit for a planner."""
+
+    def __call__(self, settings: PlannerSettings) -> Fit: ...
+
+
+class MakeVictims(Protocol):
+    """Makes a choice of victims for a planner."""
+
+    def __call__(self, settings: PlannerSettings) -> Victims: ...
+
+
+class MakeMove(Protocol):
+    """Makes a choice of moves for a planner."""
+
+    def __call__(self, settings: PlannerSettings) -> Move: ...
+
+
+ORDERS: Registry[MakeOrder] = Registry("order")
+FITS: Registry[MakeFit] = Registry("fit")
+VICTIMS: Registry[MakeVictims] = Registry("choice of victims")
+MOVES: Registry[MakeMove] = Registry("move")
--- a/src/firladder/_internal/evaluation/day_policies.py
+++ b/src/firladder/_internal/evaluation/day_policies.py
@@ -1,11 +1,7 @@
-"""Planners for simulated days: the engine's, variants of it, and baselines."""
+"""Planners for simulated days: the engine's, and baselines made of its strategies."""
 
-from collections.abc import Callable, Sequence
-
-from ..engine.placement import Candidate
 from ..engine.planning import Planner
-from ..engine.shortages import Demand
-from ..engine.state import Unit
+from ..engine.strategies import StrategyNames
 from ..policies.registry import Registry
 
 PLANNERS: Registry[type[Planner]] = Registry("planner")
@@ -18,43 +14,18 @@
 class EagerReclaimPlanner(Planner):
     """Reclaims at once, without regard to the work that is lost."""
 
-    def _must_reclaim(self, unit: Unit, now: float) -> bool:
-        return self._is_guaranteed(unit)
+    strategy_names = StrategyNames(victims="least_loss_at_once")
 
 
 @PLANNERS.register("easy_backfill")
 class BackfillPlanner(Planner):
     """First come, first served, with reservations for gangs and no preemption."""
 
-    def _preempt_for(self, unit: Unit, pool: list[Candidate], now: float) -> bool:
-        return False
-
-    def _rank(self, unit: Unit, wall: float) -> tuple[float, ...]:
-        return (unit.job.accepted.accepted_at_s, unit.step_index, unit.indices[0])
+    strategy_names = StrategyNames(order="arrival", victims="none")
 
 
 @PLANNERS.register("first_come")
-class FirstComePlanner(BackfillPlanner):
+class FirstComePlanner(Planner):
     """First come, first served: nothing starts before an earlier arrival."""
 
-    _blocked = False
-
-    def run_pass(
-        self,
-        *,
-        now: float,
-        wall: float,
-        may_continue: Callable[[], bool] = lambda: True,
-    ) -> int:
-        """Plan a pass that stops at the first unit that cannot be placed."""
-        self._blocked = False
-        return super().run_pass(now=now, wall=wall, may_continue=may_continue)
-
-    def _place(
-        self, unit: Unit, pool: Sequence[Candidate], now: float, demand: Demand
-    ) -> list[str] | None:
-        if self._blocked:
-            return None
-        found = super()._place(unit, pool, now, demand)
-        self._blocked = found is None
-        return found
+    strategy_names = StrategyNames(order="strict_arrival", victims="none")
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -459,7 +459,7 @@
             self.core.expire_runs(now)
             self.core.abort_late_gangs(now)
             self.core.abort_stalled_runs(now)
-            self._planner.move_off_draining(now)
+            self._planner.move_units(now)
             for session in list(self._sessions.values()):
                 session.wake()
             self.request_pass()
