Place work of queues with advice only by the tickets that are known

Jobs of a queue whose policy only an advice service knows were accepted and waited forever. A rejected or expired ticket returns the unit to waiting and does not count as a failed run. Unreadable times of a queue's advice are replaced by defaults, logged once.

--- a/src/firladder/_internal/engine/answers.py
+++ b/src/firladder/_internal/engine/answers.py
@@ -19,6 +19,11 @@
 """How long a worker that reported no free capacity gets no new work."""
 
 
+UNKNOWN_ADVICE_BACKOFF_S = 1.0
+"""How long a unit waits after a worker has asked for a ticket although its queue has no
+advice in the configuration in force. Rejected starts are billed."""
+
+
 class Answers(Losses):
     """Updates placements and workers from the answers to start and stop orders."""
 
@@ -60,12 +65,31 @@
         unit = placement.unit
         if isinstance(answer, OrderRejected) and answer.rejection == "no_room":
             worker.full_until = now + FULL_WORKER_BACKOFF_S
+        elif isinstance(answer, OrderRejected) and answer.rejection == "ticket":
+            self._handle_rejected_ticket(placement, now)
         elif isinstance(answer, NotSent):
             self.record_no_answer(worker, answer, now)
         elif isinstance(answer, WorkerRefused) and unit is not None:
             worker.full_until = now + FULL_WORKER_BACKOFF_S
             record_failure(worker, unit.job.accepted.job_id, now)
 
+    def _handle_rejected_ticket(self, placement: Placement, now: float) -> None:
+        unit = placement.unit
+        if unit is None:
+            return
+        count = self.advice.discard_ticket(unit, placement.worker_id, now)
+        if not self.advice.covers(unit):
+            # A newer configuration may not have arrived yet.
+            unit.backoff_until = now + UNKNOWN_ADVICE_BACKOFF_S
+        self.note(
+            "ticket rejected",
+            job=unit.job.accepted.job_id,
+            step=unit.step_index,
+            run=placement.run,
+            worker=placement.worker_id,
+            count=count,
+        )
+
     def handle_stop_answer(
         self, placement: Placement, answer: float | OrderFailure, now: float
     ) -> None:
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -152,8 +152,10 @@
             pool = view.list_pool(pool_name)
             reservation = self._reservations.find(unit)
             if reservation is not None:
-                planned += self._use_reservation(unit, reservation, pool)
+                if core.advice.may_start(unit, reservation.workers, now):
+                    planned += self._use_reservation(unit, reservation, pool)
                 continue
+            pool = core.advice.narrow(unit, pool, now)
             demand = self._describe_demand(unit, pool_name, pool, now)
             workers = None
             if not self._shortages.rules_out(demand):
@@ -251,7 +253,8 @@
         avoided = self._list_avoided(unit, pool, now)
         found = self._place_within(unit, pool, now, demand, avoided)
         if found is None:
-            self._shortages.record(demand, unit.step, has_exclusions=bool(avoided))
+            limited = bool(avoided) or self._core.advice.covers(unit)
+            self._shortages.record(demand, unit.step, has_exclusions=limited)
         return found
 
     def _place_single(
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -17,6 +17,7 @@
 
 from ..models.order import Ending, StartOrder, StopOrder
 from ..models.workload import QueueConfiguration, Resources
+from .advice import Advice
 from .crashes import uses_up_crashes
 from .profiles import Profiles
 from .restarts import Restarts
@@ -90,6 +91,7 @@
         self.speeds = Speeds()
         self.profiles = Profiles(self.speeds)
         self.restarts = Restarts()
+        self.advice = Advice(lambda: self.configuration)
         self.charged = False
         """Whether some unit was charged with a crash, which is rare."""
         self.early_cancels: set[str] = set()
@@ -228,6 +230,20 @@
         self._abort_run(unit)
         return True
 
+    def abort_without_ticket(self, unit: Unit, now: float) -> None:
+        """Abort a run that has no valid ticket for some start not known as active.
+
+        Tickets may expire while the run's record is written or its starts are queued.
+        """
+        if self.advice.lacks_ticket(unit, now):
+            self.note(
+                "ticket expired",
+                job=unit.job.accepted.job_id,
+                step=unit.step_index,
+                run=unit.run,
+            )
+            self._abort_run(unit)
+
     def abort_late_gangs(self, now: float) -> None:
         """Abort all gangs whose members have not all started in time."""
         starting = {
@@ -265,6 +281,7 @@
             placement.run,
             unit.job.accepted.workload.payload,
             unit.checkpoint,
+            self.advice.find_ticket(unit, placement.worker_id),
         )
 
     def describe_stop(self, placement: Placement) -> StopOrder | None:
--- a/src/firladder/_internal/engine/waiting.py
+++ b/src/firladder/_internal/engine/waiting.py
@@ -23,23 +23,20 @@
         """Return the pool that the configuration in force assigns to the job.
 
         If its queue has been removed since, the job stays in the pool of that queue as
-        long as the pool exists. An empty name means that the job is not planned here:
-        its queue has a policy that only an external service knows.
+        long as the pool exists.
         """
         queue = self._queues.get(job.accepted.queue)
-        if queue is None:
-            return job.accepted.pool
-        return "" if queue.needs_advice else queue.pool
+        return job.accepted.pool if queue is None else queue.pool
 
     def list_ready(self, now: float, wall: float) -> Iterator[Unit]:
         """Yield the units that may be planned now, and note since when they may."""
         for job in self._core.jobs.values():
-            if job.terminal or job.cancelled or self.find_pool(job) == "":
+            if job.terminal or job.cancelled:
                 continue
             for (occurrence, number), units in job.by_step.items():
-                if not _is_due(job, occurrence, wall):
+                if not is_due(job, occurrence, wall):
                     continue
-                if not _are_earlier_steps_done(job, occurrence, number):
+                if not are_earlier_steps_done(job, occurrence, number):
                     continue
                 for unit in units:
                     if _may_be_planned(unit, now):
@@ -47,14 +44,16 @@
                         yield unit
 
 
-def _is_due(job: Job, occurrence: int, wall: float) -> bool:
+def is_due(job: Job, occurrence: int, wall: float) -> bool:
+    """Return whether an occurrence of a job is due at ``wall`` (Unix time)."""
     workload = job.accepted.workload
     if workload.occurrences <= 0:
         return True
     return wall >= workload.first_at_s + occurrence * workload.interval_s
 
 
-def _are_earlier_steps_done(job: Job, occurrence: int, number: int) -> bool:
+def are_earlier_steps_done(job: Job, occurrence: int, number: int) -> bool:
+    """Return whether all steps that a step comes after are done."""
     return all(
         unit.state is UnitState.DONE
         for earlier in job.accepted.workload.steps[number].after
--- a/src/firladder/_internal/models/message.py
+++ b/src/firladder/_internal/models/message.py
@@ -152,7 +152,10 @@
 
 
 class NodeView(Body, frozen=True, kw_only=True, tag="node_view"):
-    """A node's view of the fleet, in answer to ``GreetNode``."""
+    """A node's view of the fleet, in answer to ``GreetNode``.
+
+    ``advice_unavailable`` is told by the leader only.
+    """
 
     peers: tuple[str, ...] = ()
     leader_ip: str = ""
@@ -160,6 +163,7 @@
     configuration_version: int = 0
     store_reachable: bool = True
     failure_domain: str = ""
+    advice_unavailable: bool = False
 
 
 class AdvertiseConfiguration(
--- a/src/firladder/_internal/models/order.py
+++ b/src/firladder/_internal/models/order.py
@@ -10,7 +10,7 @@
 Rejection = Literal["fenced", "superseded", "too_late", "no_room", "ticket", "other"]
 """Why a worker did not begin a task. ``fenced``: it knows a higher fencing token;
 ``superseded``: the run number was given up; ``too_late``: the deadline had passed;
-``no_room``: it lacks free capacity."""
+``no_room``: it lacks free capacity; ``ticket``: the ticket is missing or expired."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,7 +58,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartOrder:
-    """Order to start ``task`` as run number ``run`` on a worker."""
+    """Order to start ``task`` as run number ``run`` on a worker.
+
+    ``ticket`` proves that the worker may run the task, if its queue has advice.
+    """
 
     worker_id: str
     address: str
@@ -66,6 +69,7 @@
     run: int
     payload: str
     checkpoint: str
+    ticket: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/firladder/_internal/models/workload.py
+++ b/src/firladder/_internal/models/workload.py
@@ -101,13 +101,29 @@
     workload: Workload
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdviceTerms:
+    """How long the advice service takes, and how long its tickets are valid.
+
+    It answers ``decision_s`` plus ``per_worker_s`` for each worker after a request.
+    """
+
+    decision_s: float
+    per_worker_s: float
+    valid_s: float
+
+    def estimate_answer(self, workers: int) -> float:
+        """Return the usual seconds to the answer to a request for that many workers."""
+        return self.decision_s + self.per_worker_s * workers
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Queue:
     """A queue of the configuration in force.
 
     The latency objective is ``stretch`` times the longest chain of work plus
-    ``slo_s``. With ``needs_advice`` an outside service chooses the pool, and no job
-    of the queue is placed here.
+    ``slo_s``. With ``advice`` only some workers of the pool may run a step, and only
+    the advice service knows which.
     """
 
     name: str
@@ -119,7 +135,7 @@
     max_attempts: int = 1
     stretch: float = 1.0
     slo_s: float = 0.0
-    needs_advice: bool = False
+    advice: AdviceTerms | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/firladder/_internal/node/order_sender.py
+++ b/src/firladder/_internal/node/order_sender.py
@@ -203,7 +203,9 @@
         await self._await_reachable()
         self._orders.mark_start_sent(order)
         if placement.unit is not None:
-            self._core.abort_late_gang(placement.unit, context.clock.read_monotonic())
+            now = context.clock.read_monotonic()
+            self._core.abort_late_gang(placement.unit, now)
+            self._core.abort_without_ticket(placement.unit, now)
         if placement.phase is not Phase.SENT:
             self._core.drop_unsent(placement)
             return
--- a/src/firladder/_internal/platform/configuration.py
+++ b/src/firladder/_internal/platform/configuration.py
@@ -1,16 +1,31 @@
 """Decode the operators' configuration."""
 
+import functools
+import logging
+import math
 from typing import Any
 
 import msgspec
 
 from ..exceptions import MalformedBody
-from ..models.workload import Organisation, Pool, Queue, QueueConfiguration
+from ..models.workload import (
+    AdviceTerms,
+    Organisation,
+    Pool,
+    Queue,
+    QueueConfiguration,
+)
 from ..utils.codec import decode_json
 
 CONFIGURATION_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
 
+logger = logging.getLogger(__name__)
+
+DEFAULT_ADVICE = {"decision_ms": 100.0, "per_worker_ms": 10.0, "valid_ms": 2000.0}
+"""Used for times that are missing or unreadable. The first two only set a time limit;
+the last is short: a ticket that is asked for again costs less than a rejected start."""
+
 
 class _Route(msgspec.Struct):
     name: str
@@ -76,7 +91,45 @@
         wire.max_attempts,
         wire.stretch,
         wire.slo_ms / 1000,
-        bool(wire.advice),
+        _convert_advice(wire.name, wire.advice),
+    )
+
+
+def _convert_advice(queue: str, wire: Any) -> AdviceTerms | None:
+    """Return the terms of the advice service, or None without a policy.
+
+    A value that cannot be read still means that there is a policy: starts without a
+    ticket would all be rejected.
+    """
+    if not wire:
+        return None
+    found = wire if isinstance(wire, dict) else {}
+    times = {name: _read_time(found.get(name)) for name in DEFAULT_ADVICE}
+    read = {name: value for name, value in times.items() if value is not None}
+    if not read.get("valid_ms"):
+        read.pop("valid_ms", None)
+    missing = tuple(name for name in DEFAULT_ADVICE if name not in read)
+    if missing:
+        _log_defaults(queue, missing)
+    used = {**DEFAULT_ADVICE, **read}
+    return AdviceTerms(
+        used["decision_ms"] / 1000,
+        used["per_worker_ms"] / 1000,
+        used["valid_ms"] / 1000,
+    )
+
+
+def _read_time(value: Any) -> float | None:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return float(value) if 0 <= value < math.inf else None
+
+
+@functools.lru_cache(maxsize=1000)
+def _log_defaults(queue: str, names: tuple[str, ...]) -> None:
+    """Log once that a queue's advice has unreadable times; each version has them."""
+    logger.warning(
+        "advice of queue %s: using the defaults for %s", queue, ", ".join(names)
     )
 
 
--- a/src/firladder/_internal/platform/settings.py
+++ b/src/firladder/_internal/platform/settings.py
@@ -50,6 +50,8 @@
     listen: _Listen
     platform: _Store
     seeds: list[str] = []
+    # HOST:PORT of the advice service; may be empty.
+    advice: str = ""
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
 
@@ -63,7 +65,8 @@
     ``retention_s`` is how long the status of an ended job stays available.
     ``restart_s`` is the time that a checkpointing task loses when it is stopped.
     ``member_wait_s`` is how long a gang's member waits for the others to start.
-    ``processor_cores`` and ``link_mbps`` are the VM's capacity.
+    ``processor_cores`` and ``link_mbps`` are the VM's capacity. ``advice_address`` is
+    the ip:port of the advice service, or empty.
     """
 
     vm: str
@@ -82,6 +85,7 @@
     member_wait_s: float
     processor_cores: float
     link_mbps: float
+    advice_address: str = ""
 
 
 def read_node_settings(path: str) -> NodeSettings:
@@ -115,4 +119,5 @@
         member_wait_s=bounds.gang_timeout_ms / 1000,
         processor_cores=wire.limits.cpu_share * wire.limits.cores,
         link_mbps=wire.limits.link_mbps,
+        advice_address=wire.advice,
     )
--- a/src/firladder/_internal/platform/workers.py
+++ b/src/firladder/_internal/platform/workers.py
@@ -98,6 +98,8 @@
         }
         if order.checkpoint:
             body["checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
         return await self._order(order, "/-/run-start", body, send_within_s, timeout_s)
 
     async def stop(
