Ask the advice service from the leader; refuse its queues while it is silent

The leader asks for one step at a time, with a time limit from the queue's terms and pauses of 0.25 s to 2 s after a request without advice. While the service has not answered for 5 s the leader says so in its greetings, and every node refuses new submissions to these queues with 503 after reading the store: an id that was accepted before is answered as accepted.

--- a/src/firladder/_internal/exceptions.py
+++ b/src/firladder/_internal/exceptions.py
@@ -226,6 +226,18 @@
     http_status: ClassVar[int] = 503
 
 
+class AdviceBusy(Failure, frozen=True, kw_only=True, tag="advice_busy"):
+    """The advice service has too many requests of other VMs waiting."""
+
+    http_status: ClassVar[int] = 503
+
+
+class AdviceUnavailable(Failure, frozen=True, kw_only=True, tag="advice_unavailable"):
+    """The service that knows which workers may run the queue's jobs does not answer."""
+
+    http_status: ClassVar[int] = 503
+
+
 class UnknownKey(Failure, frozen=True, kw_only=True, tag="unknown_key"):
     """No organisation has the key that was sent with the call."""
 
--- a/src/firladder/_internal/node/client_api.py
+++ b/src/firladder/_internal/node/client_api.py
@@ -7,6 +7,7 @@
 from ..engine.progress import encode_accepted
 from ..engine.state import TERMINAL, JobState
 from ..exceptions import (
+    AdviceUnavailable,
     Draining,
     Failure,
     InvalidValue,
@@ -32,6 +33,7 @@
     reply_failure,
     reply_json,
 )
+from ..platform.store import CALL_TIMEOUT_S
 from ..platform.submissions import decode_submission
 from ..utils.events import Event
 from .keys import CANCELS, JOBS
@@ -58,12 +60,19 @@
 LEADER_TIMEOUT_S = 0.25
 """Timeout of a query to the leader, in seconds; it answers from memory."""
 
+MIN_READ_TIMEOUT_S = 0.05
+"""Minimum timeout of a read for a caller, in seconds; the store answers in 4 ms."""
+
 MAX_CACHED_OUTCOMES = 5000
 """Final job states cached; they never change, and clients ask for them repeatedly."""
 
 RETRY_AFTER_S = 1.0
 """Seconds after which callers should retry when this node cannot serve them."""
 
+ADVICE_RETRY_AFTER_S = 2.0
+"""Seconds after which callers of a queue without advice should retry: the service is
+asked again after as long at most."""
+
 
 class ClientApi:
     """Handlers of client calls; durable state is kept in the store."""
@@ -162,6 +171,10 @@
             return reply_failure(
                 Draining(reason="this node is stopping", retry_after_s=RETRY_AFTER_S)
             )
+        if queue.advice is not None:
+            lacking = self._find_missing_advice()
+            if lacking is not None:
+                return await self._refuse_unless_stored(job_id, lacking, until)
         accepted = AcceptedJob(
             job_id,
             queue.name,
@@ -190,6 +203,37 @@
             self._node.announce(AnnounceJob(record=record))
         return reply_json({})
 
+    def _find_missing_advice(self) -> AdviceUnavailable | None:
+        """Return why a queue that needs advice takes no new job, or None."""
+        if not self._node.settings.advice_address:
+            reason = "no advice service is configured"
+        elif self._node.fleet.advice_unavailable:
+            reason = "the advice service does not answer"
+        else:
+            return None
+        return AdviceUnavailable(reason=reason, retry_after_s=ADVICE_RETRY_AFTER_S)
+
+    async def _refuse_unless_stored(
+        self, job_id: str, failure: Failure, until: float
+    ) -> HttpReply:
+        """Answer with ``failure``, or as accepted if an earlier call was accepted.
+
+        A refusal says that the job does not run, so the store is read first.
+        """
+        left_s = until - self._node.clock.read_monotonic()
+        timeout_s = max(MIN_READ_TIMEOUT_S, min(CALL_TIMEOUT_S, left_s))
+        stored = await self._records.exists(job_id, timeout_s=timeout_s)
+        outcome = failure if stored is False else stored
+        self._node.timeline.record(
+            Event.SUBMISSION_ANSWERED,
+            job=job_id,
+            configuration=self._node.configuration.version,
+            outcome="Stored" if outcome is True else type(outcome).__name__,
+        )
+        return (
+            reply_failure(outcome) if isinstance(outcome, Failure) else reply_json({})
+        )
+
     async def _cancel(self, job_id: str, until: float) -> HttpReply:
         found = await self._find_state(job_id)
         if isinstance(found, Failure):
--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -14,6 +14,7 @@
 from ..network.http_client import HttpClient
 from ..network.http_server import HttpServer
 from ..network.traffic import TrafficMeter
+from ..platform.advice import AdviceCalls
 from ..platform.configuration import CONFIGURATION_PREFIX
 from ..platform.settings import NodeSettings, read_node_settings
 from ..platform.store import Change, Item, Listing, PlatformStore
@@ -110,6 +111,13 @@
             source_ip=self.settings.ip,
             traffic=self._traffic,
         )
+        self._advice_calls = AdviceCalls(
+            # The service may close an idle connection at any time; requests are rare.
+            http=HttpClient(
+                persistent=False, source_ip=self.settings.ip, traffic=self._traffic
+            ),
+            read_address=lambda: self.settings.advice_address,
+        )
         self.store = PlatformStore(
             address=self.settings.store_address,
             http=HttpClient(
@@ -144,6 +152,7 @@
             timeline=self.timeline,
             reaches_store=lambda: self.store.reachable,
             fitness=self._fitness,
+            lacks_advice=self._lacks_advice,
         )
         self._handover = LeadershipHandover(
             own=self._fitness,
@@ -373,6 +382,8 @@
             traffic=self._traffic,
             backlog=self._backlog,
             load_timeout_s=self._load_timeout_s,
+            advice_calls=self._advice_calls,
+            on_advice_call=self.metrics.observe_advice,
         )
         self.term = term
         self.timeline.record(Event.TERM_STARTED, token=leadership.token)
@@ -392,6 +403,10 @@
         self.fleet.forget_leader(leadership.token)
         self.timeline.record(Event.TERM_ENDED, token=leadership.token, reason=reason)
 
+    def _lacks_advice(self) -> bool:
+        advice = self.term.advice if self.term is not None else None
+        return advice is not None and advice.unavailable
+
     async def _hand_over_when_due(self, term: Term) -> None:
         await self._handover.wait_until_due()
         term.step_down("a VM with a larger link can lead")
--- a/src/firladder/_internal/node/fleet.py
+++ b/src/firladder/_internal/node/fleet.py
@@ -39,6 +39,9 @@
 this node: some rounds of greetings. Without a limit, a removed peer would be asked
 forever, and each request would time out with an unknown outcome."""
 
+LEADER_NEWS_MAX_AGE_S = 2.0
+"""Seconds for which what the leader said in a greeting counts: four greetings."""
+
 PARTNER_PERIOD_S = 5.0
 """Seconds for which the same random peer is greeted. Each greeted peer costs a
 connection with keepalives. If a peer were drawn for each round, a node of a large fleet
@@ -74,8 +77,14 @@
         timeline: Timeline,
         reaches_store: Callable[[], bool],
         fitness: LeaderFitness | None = None,
+        lacks_advice: Callable[[], bool] = lambda: False,
     ) -> None:
-        """Begin with the peers ``seeds`` (IP addresses), as a VM of ``fitness``."""
+        """Begin with the peers ``seeds`` (IP addresses), as a VM of ``fitness``.
+
+        ``lacks_advice`` tells, at the leader, that the advice service does not answer.
+        """
+        self._lacks_advice = lacks_advice
+        self._advice_lost: tuple[str, float] | None = None
         self._fitness = fitness or LeaderFitness()
         self._fitness_by_ip: dict[str, LeaderFitness] = {}
         self._reaches_store = reaches_store
@@ -200,6 +209,22 @@
         since = self._clock.read_monotonic() - HELPER_MAX_AGE_S
         return [ip for ip, at in self._store_reached_at.items() if at >= since]
 
+    @property
+    def advice_unavailable(self) -> bool:
+        """Return whether the leader said lately that the advice service is silent."""
+        if self.leads:
+            return self._lacks_advice()
+        if self._advice_lost is None:
+            return False
+        leader_ip, told_at = self._advice_lost
+        age_s = self._clock.read_monotonic() - told_at
+        return leader_ip == self.leader_ip and age_s <= LEADER_NEWS_MAX_AGE_S
+
+    def _record_advice(self, ip: str, *, unavailable: bool) -> None:
+        if ip == self.leader_ip:
+            told_at = self._clock.read_monotonic()
+            self._advice_lost = (ip, told_at) if unavailable else None
+
     def list_fitness(self) -> list[LeaderFitness]:
         """Return the fitness to lead of the peers that reached the store recently."""
         return [
@@ -286,6 +311,7 @@
                 self._last_heard_at.setdefault(peer, now)
         if view.leader_ip:
             self.record_leader(view.leader_ip, view.leader_token)
+        self._record_advice(ip, unavailable=view.advice_unavailable)
         self.distribution.record_version(ip, view.configuration_version)
 
     def _describe(self) -> GreetNode:
@@ -318,4 +344,5 @@
             configuration_version=self._configuration.version,
             store_reachable=self._reaches_store(),
             failure_domain=self._failure_domain,
+            advice_unavailable=self.leads and self._lacks_advice(),
         )
--- a/src/firladder/_internal/node/metrics.py
+++ b/src/firladder/_internal/node/metrics.py
@@ -84,6 +84,18 @@
             buckets=BUCKETS_S,
             registry=self.registry,
         )
+        self.advice_calls = Counter(
+            "firladder_advice_calls_total",
+            "Requests to the advice service, by outcome",
+            registry=self.registry,
+        )
+        self.tickets = self._gauge(
+            "firladder_advice_tickets_count", "Valid tickets known at the leader"
+        )
+        self.waiting_for_advice = self._gauge(
+            "firladder_advice_waiting_steps_count",
+            "Steps at the leader that are due and have no ticket",
+        )
         self.memory = self._gauge(
             "firladder_node_resident_peak_bytes", "Largest resident memory so far"
         )
@@ -101,6 +113,10 @@
         self.order_waits.observe({"kind": kind}, waited_s)
         self.order_answers.observe({"kind": kind}, took_s)
 
+    def observe_advice(self, outcome: str) -> None:
+        """Record one request to the advice service."""
+        self.advice_calls.inc({"outcome": outcome})
+
     def collect(self, node: "Node") -> None:
         """Update the gauges from the current state of ``node``."""
         usage = resource.getrusage(resource.RUSAGE_SELF)
@@ -133,6 +149,10 @@
                 if w.entry.failure_domain == domain
             )
             self.evacuated.set({"failure_domain": domain}, count)
+        now = node.clock.read_monotonic()
+        self.tickets.set({}, term.core.advice.count_tickets(now))
+        waiting = term.advice.waiting_steps if term.advice is not None else 0
+        self.waiting_for_advice.set({}, waiting)
         for reachable in (True, False):
             found = [w for w in term.core.workers.values() if w.reachable is reachable]
             self.workers.set({"reachable": str(reachable).lower()}, len(found))
--- a/src/firladder/_internal/node/records.py
+++ b/src/firladder/_internal/node/records.py
@@ -179,9 +179,9 @@
             return JobState.CANCELLED
         return state or JobState.QUEUED
 
-    async def exists(self, job_id: str) -> bool | OutcomeUnknown:
+    async def exists(self, job_id: str, *, timeout_s: float) -> bool | OutcomeUnknown:
         """Return whether a job was accepted."""
-        found = await self._store.read_item(JOBS + job_id)
+        found = await self._store.read_item(JOBS + job_id, timeout_s=timeout_s)
         if isinstance(found, Item):
             return True
         if isinstance(found, NotFound):
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -27,6 +27,7 @@
 from ..utils.clocks import Clock
 from ..utils.events import Event, Timeline
 from ..utils.tasks import TaskSet
+from .advice import AdviceLoop, AskAdvice, ObserveCall
 from .election import Leadership
 from .evacuations import Evacuations
 from .keys import CANCELS, JOBS, PROGRESS, SUBMISSIONS
@@ -69,7 +70,9 @@
         "gang aborted",
         "gang apart",
         "member ended alone",
+        "no worker allowed",
         "runs lapsed",
+        "ticket rejected",
         "worker lost",
     )
 )
@@ -93,6 +96,8 @@
         traffic: TrafficMeter,
         backlog: LinkBacklog,
         load_timeout_s: float = LOAD_TIMEOUT_S,
+        advice_calls: AskAdvice | None = None,
+        on_advice_call: ObserveCall = lambda _outcome: None,
     ) -> None:
         """Prepare to lead under ``leadership``; nothing is read or sent yet."""
         self._load_timeout_s = load_timeout_s
@@ -120,6 +125,17 @@
         self._planner = Planner(
             self.core, reclaim_s=settings.reclaim_s, restart_s=settings.restart_s
         )
+        self.advice: AdviceLoop | None = None
+        if advice_calls is not None:
+            self.advice = AdviceLoop(
+                core=self.core,
+                calls=advice_calls,
+                clock=clock,
+                rng=rng,
+                timeline=timeline,
+                on_advice=self.request_pass,
+                on_call=on_advice_call,
+            )
         self._evacuations = Evacuations(
             core=self.core, timeline=timeline, on_change=self.request_pass
         )
@@ -232,6 +248,8 @@
         self._tasks.spawn(self._pass_loop.run(), name="plan")
         self._tasks.spawn(self._tick_forever(), name="tick")
         self._tasks.spawn(self._retention.run(), name="retention")
+        if self.advice is not None:
+            self._tasks.spawn(self.advice.run(), name="advice")
 
     def _on_progress_writer_end(self, task: "asyncio.Task[NotLeader]") -> None:
         if not task.cancelled() and task.exception() is None:
@@ -434,6 +452,8 @@
         self._leader_load.record_pass(self.clock.read_monotonic() - now)
         self._progress_writer.wake()
         self._dispatch_orders(now)
+        if self.advice is not None:
+            self.advice.wake()
 
     def _dispatch_orders(self, now: float) -> None:
         for placement in self.core.take_starts():
--- a/src/firladder/_internal/utils/events.py
+++ b/src/firladder/_internal/utils/events.py
@@ -82,6 +82,8 @@
     DOMAIN_EVACUATED = (542, "failure domain gets no new work")
     DOMAIN_RESTORED = (543, "failure domain gets work again")
     LEADER_LOAD = (544, "load of the leader")
+    ADVICE_UNAVAILABLE = (550, "advice service unavailable")
+    ADVICE_AVAILABLE = (551, "advice service available again")
 
     @property
     def number(self) -> int:
