Add a stand-in of the advice service, and workers that check tickets

Scenarios over processes: work of a queue with advice runs only on allowed workers without a rejected ticket, and a silent service closes only its own queue.

--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -135,6 +135,24 @@
     And a successor leads within 2 s of the signal
     And all jobs that were accepted are completed within 20 s
 
+  Scenario: Work of a queue with advice runs only where it may
+    Guards against starts without a ticket, which the workers reject.
+    Given the advice service refuses worker 0
+    When a client submits an advised job of 2 tasks, and one after them
+    Then every node shows it as "completed" within 15 s
+    And each of its 3 tasks has run exactly once
+    And nothing of it ran on worker 0, and no ticket was rejected
+
+  Scenario: A silent advice service closes only its own queue
+    Guards against an id that is called "not run" although it was accepted before.
+    Given the advice service does not respond
+    When a client submits an advised job of 1 task, and repeats it with others
+    Then within 10 s other advised jobs are refused at every node, the first never
+    When a client submits a job of 1 task of 0.3 s
+    Then every node shows it as "completed" within 15 s
+    When the advice service responds again
+    Then the first advised job is shown as "completed" within 15 s
+
   Scenario: Settings change while a node runs
     When a node's settings file becomes invalid and it gets SIGHUP
     Then it logs the refusal and continues to serve
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -52,6 +52,77 @@
     assert submit(context, [make_step(2), make_step(3, after=[0])]) == 200
 
 
+@given("the advice service refuses worker {number:d}")
+def refuse_worker(context, number):
+    context.add_cleanup(context.platform.set_advice_faults)
+    context.platform.set_advice_faults(refused=[f"i-{number:04x}"])
+
+
+@given("the advice service does not respond")
+def silence_advice(context):
+    context.add_cleanup(context.platform.set_advice_faults)
+    context.platform.set_advice_faults(silent=True)
+
+
+@when("the advice service responds again")
+def restore_advice(context):
+    context.platform.set_advice_faults()
+
+
+def submit_advised(context, steps, *, node=0, job_id=None):
+    return submit(
+        context,
+        steps,
+        takes_s="0.3 1 1 advised",
+        node=node,
+        job_id=job_id,
+        queue="advised",
+    )
+
+
+@when("a client submits an advised job of 2 tasks, and one after them")
+def submit_advised_steps(context):
+    assert submit_advised(context, [make_step(2), make_step(1, after=[0])]) == 200
+
+
+@then("nothing of it ran on worker {number:d}, and no ticket was rejected")
+def check_advised(context, number):
+    ledger = context.platform.read_ledger()
+    workers = {s[2] for s in ledger["starts"] if s[0].startswith(context.job)}
+    assert f"i-{number:04x}" not in workers, workers
+    assert not ledger["rejected_tickets"], ledger["rejected_tickets"]
+
+
+@when("a client submits an advised job of 1 task, and repeats it with others")
+def repeat_advised(context):
+    assert submit_advised(context, [make_step()]) == 200
+    context.first = context.job
+
+
+@then(
+    "within {seconds:d} s other advised jobs are refused at every node, the first never"
+)
+def check_refused(context, seconds):
+    for node in list_live_nodes(context):
+
+        def is_refused(node=node):
+            assert (
+                submit_advised(context, [make_step()], node=node, job_id=context.first)
+                == 200
+            )
+            return submit_advised(context, [make_step()], node=node) == 503
+
+        wait_for(is_refused, seconds, f"refusal at node {node}")
+        assert context.answer["type"] == "advice_unavailable", context.answer
+        again = submit_advised(context, [make_step()], node=node, job_id=context.first)
+        assert again == 200, again
+
+
+@then('the first advised job is shown as "{state}" within {seconds:d} s')
+def check_first_advised(context, state, seconds):
+    wait_for(lambda: read_state(context, context.first) == state, seconds, state)
+
+
 @when("a client submits a gang of {count:d} tasks with {gpu:d} accelerators")
 def submit_gang(context, count, gpu):
     assert submit(context, [make_step(count, gpu, gang=True)]) == 200
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the platform's store and workers, in one process."""
+"""Stand-ins for the platform's store, workers and advice service, in one process."""
 
 import argparse
 import asyncio
@@ -14,6 +14,8 @@
     reply_json,
 )
 
+from .platform_advice import AdviceFaults
+from .platform_advice import routes as advice_routes
 from .platform_store import MemoryStore, StoreApp, routes
 from .platform_workers import HEARTBEAT_S, Ledger, Worker, WorkerFaults
 from .process import run_standin
@@ -50,6 +52,8 @@
             "failed": sorted(ledger.failed),
             "crashes": dict(ledger.crashes),
             "problems": ledger.problems,
+            "advice": dict(ledger.advice.outcomes),
+            "rejected_tickets": ledger.rejected_tickets,
             "running": running,
             "calls": app.store.calls,
         }
@@ -64,6 +68,13 @@
     return reply_json({})
 
 
+@routes.route("POST", "/advice-faults")
+async def set_advice_faults(app: PlatformApp, call: HttpCall) -> HttpReply:
+    """Replace the faults of the advice service."""
+    app.ledger.advice.faults = msgspec.json.decode(call.body, type=AdviceFaults)
+    return reply_json({})
+
+
 async def send_heartbeats(store: MemoryStore, worker: Worker) -> None:
     """Register a worker at the start and then every 30 heartbeats, unless silent.
 
@@ -90,6 +101,8 @@
     store, ledger = MemoryStore(options.seed), Ledger()
     app = PlatformApp(store, ledger)
     HttpServer(app, routes, max_body_bytes=MAX_BODY_BYTES).listen(options.store)
+    if options.advice:
+        HttpServer(ledger.advice, advice_routes).listen(options.advice)
     loops = [store.expire_leases()]
     for number, pair in enumerate(options.workers.split(",")):
         address, _, advertised = pair.partition(">")
@@ -109,6 +122,7 @@
         required=True,
         help="ip:port[>ip:port],...: each worker's address, and the one it advertises",
     )
+    parser.add_argument("--advice", help="ip:port of the advice service")
     parser.add_argument("--seed", type=int, default=0)
     run_standin(parser, serve)
 
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Any
 
+from .platform_advice import DECISION_S, PER_WORKER_S, VALID_S
 from .proxy import Proxy
 from .site import ROOT, ChildProcess, call, reserve_port_block, wait_for
 
@@ -28,6 +29,23 @@
             "slo_ms": 1000,
         }
         for priority in range(3)
+    ]
+    + [
+        {
+            "name": "queue-advised",
+            "hostname": "jobs.example",
+            "prefix": "/advised/",
+            "backend": "pool-a",
+            "priority": 1,
+            "max_attempts": 3,
+            "stretch": 3.0,
+            "slo_ms": 1000,
+            "advice": {
+                "decision_ms": DECISION_S * 1000,
+                "per_worker_ms": PER_WORKER_S * 1000,
+                "valid_ms": VALID_S * 1000,
+            },
+        }
     ],
     "services": [{"name": "pool-a", "enforces_capacity": False}],
     "limits": {"max_body_bytes": 262144, "idle_timeout_ms": 15000},
@@ -42,6 +60,7 @@
 zone = "{zone}"
 port_range = [{peer_port}, {last_port}]
 seeds = [{seeds}]
+advice = "{advice}"
 [listen]
 front = "{ip}:{front}"
 ready = "{ip}:{ready}"
@@ -106,6 +125,7 @@
         self.front, self.ready = next(ports), next(ports)
         self.store = f"127.0.9.1:{next(ports)}"
         self.workers = [f"127.0.9.2:{next(ports)}" for _ in range(workers)]
+        self.advice = f"127.0.9.5:{next(ports)}"
         self.directory = Path(tempfile.mkdtemp(prefix="firladder-platform-"))
         self.ips = [f"127.0.{8 + n % 3 * 20}.{n + 1}" for n in range(nodes)]
         self.nodes: list[NodeProcess] = []
@@ -131,7 +151,7 @@
         command = [sys.executable, "-m", "standins.platform", "--store", self.store]
         workers = zip(self.workers, self.advertised, strict=True)
         command += ["--workers", ",".join(f"{a}>{b}" for a, b in workers)]
-        command += ["--seed", str(self.seed)]
+        command += ["--seed", str(self.seed), "--advice", self.advice]
         self.platform = ChildProcess(
             "platform", command, self.directory / "platform.log"
         )
@@ -155,6 +175,7 @@
                 peer_port=self.peer_port,
                 last_port=self.peer_port + 9,
                 seeds=seeds,
+                advice=self.advice,
                 front=self.front,
                 ready=self.ready,
                 store=self.store_addresses.get(number, self.store),
@@ -188,6 +209,10 @@
         """Replace a worker's faults; those not given are off."""
         call(self.store, "POST", f"/worker-faults/{number}", faults)
 
+    def set_advice_faults(self, **faults: Any) -> None:
+        """Replace the faults of the advice service; those not given are off."""
+        call(self.store, "POST", "/advice-faults", faults)
+
     def is_ready(self, ip: str) -> bool:
         """Return whether a node reports that it is ready for new connections."""
         return call(f"{ip}:{self.ready}", "GET", "/-/ready")[0] == 200
--- a/standins/platform_workers.py
+++ b/standins/platform_workers.py
@@ -24,6 +24,8 @@
     reply_json,
 )
 
+from .platform_advice import AdviceService
+
 routes = RouteTable()
 
 HEARTBEAT_S = 1.0
@@ -92,6 +94,8 @@
         self.failed: set[str] = set()
         self.crashes: Counter[str] = Counter()
         self.problems: list[str] = []
+        self.advice = AdviceService()
+        self.rejected_tickets: list[str] = []
         self.workers: list[Worker] = []
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -299,8 +303,13 @@
         return worker.reply()
     if run <= worker.highest_runs.get(task, 0):
         return worker.reply(409, reason="old")
-    worker.extend_lease(body["deadline_ms"])
     takes, accelerators, members, *rest = [*body["spec"].split(), "0", "1"]
+    if "advised" in rest:
+        ticket = body.get("ticket", "")
+        if not worker.ledger.advice.is_valid(ticket, task, worker.worker_id):
+            worker.ledger.rejected_tickets.append(task)
+            return worker.reply(409, reason="ticket")
+    worker.extend_lease(body["deadline_ms"])
     begun = Run(task, run, time.monotonic(), float(takes), int(accelerators))
     begun.members = int(members)
     worker.ledger.record_start(worker, task, run, begun.accelerators)
