Extend the soak to jobs that need advice

Half of the jobs of such a run go to the queue with advice, and the service falls silent, is busy or refuses a worker. Other runs keep the schedules of their seeds.

--- a/features/platform_soak.feature
+++ b/features/platform_soak.feature
@@ -16,6 +16,13 @@
       | 116  | 12     | a later leader showed a cancelled job as running                 |
       | 231  | 12     | a completed job was shown as running while its gang ended        |
 
+  Scenario: A soak with jobs for a queue with advice breaks no promise
+    The advice service falls silent, is busy or refuses a worker, while leaders are lost.
+    Guards against jobs that are called "not run" and run, and against tickets of a
+    former leader or of another incarnation of a worker.
+    When the soak runs with seed 400 for 10 s, half its jobs advised
+    Then no promise was broken
+
   Scenario: A soak over three failure domains breaks no promise
     A node that reaches neither another domain nor the store rejects its callers. For a
     moment, suspended peers and a silent store look like that: a job that was rejected
--- a/features/steps/platform_soak_steps.py
+++ b/features/steps/platform_soak_steps.py
@@ -15,10 +15,16 @@
     run_soak(context, seed, seconds, domains)
 
 
+@when("the soak runs with seed {seed:d} for {seconds:d} s, half its jobs advised")
+def run_advised_soak(context, seed, seconds):
+    run_soak(context, seed, seconds, advised_share=0.5)
+
+
 @when("the soak runs with seed {seed:d} for {seconds:d} s")
-def run_soak(context, seed, seconds, domains=1):
+def run_soak(context, seed, seconds, domains=1, advised_share=0.0):
     command = [sys.executable, "-m", "standins.soak"]
     command += [f"--seed={seed}", f"--seconds={seconds}", f"--domains={domains}"]
+    command += [f"--advised_share={advised_share}"]
     context.soak = subprocess.run(
         command, cwd=ROOT, capture_output=True, text=True, timeout=SOAK_TIMEOUT_S
     )
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -52,6 +52,7 @@
     uncertain: bool = False
     cancelled: bool = False
     crashes: bool = False
+    queue: str = "q1"
     last_state: str = ""
 
 
@@ -65,12 +66,15 @@
         number: int,
         *,
         crash_share: float,
+        advised_share: float,
     ) -> None:
         """Prepare a client whose job ids begin at ``number << 32``.
 
-        ``crash_share`` of its jobs crash each worker that starts them.
+        ``crash_share`` of its jobs crash each worker that starts them, and
+        ``advised_share`` go to the queue with advice.
         """
         self.crash_share = crash_share
+        self.advised_share = advised_share
         super().__init__(daemon=True)
         self.site = site
         self.rng = rng
@@ -102,6 +106,9 @@
         step = {"count": count, "cpu": 500, "mem_mb": 100, "gpu": gpu, "gang": gang}
         run_time_s = self.rng.choice([0.2, 0.5, 1.5, 3.0])
         spec = f"{run_time_s} {gpu} {count if gang else 1}" + " crash" * crashes
+        if self.advised_share and self.rng.random() < self.advised_share:
+            job.queue = "advised"
+            spec += " advised"
         body = {"spec": spec, "steps": [step]}
         for _ in range(4):
             status = self._call("POST", job, body)
@@ -153,7 +160,8 @@
         data = None if body is None else json.dumps(body)
         started_at = time.monotonic()
         try:
-            connection.request(method, f"/q1/{job.job_id}", body=data, headers=headers)
+            path = f"/{job.queue}/{job.job_id}"
+            connection.request(method, path, body=data, headers=headers)
             response = connection.getresponse()
             raw = response.read()
         except (OSError, http.client.HTTPException):
@@ -190,9 +198,11 @@
         workers: int = 3,
         domains: int = 1,
         crash_share: float = 0.0,
+        advised_share: float = 0.0,
     ) -> None:
         """Start all processes; nodes take the failure domains in rotation."""
         self.rng = random.Random(seed)
+        self.faults = {**FAULTS, **(ADVICE_FAULTS if advised_share else {})}
         self.proxy = Proxy()
         names = tuple(f"domain-{n}" for n in range(domains))
         self.site = PlatformSite(nodes=nodes, workers=workers, seed=seed, domains=names)
@@ -207,6 +217,7 @@
                 random.Random(seed * 100 + n),
                 n + 1,
                 crash_share=crash_share,
+                advised_share=advised_share,
             )
             for n in range(CLIENT_COUNT)
         ]
@@ -222,9 +233,9 @@
                 pending.remove((due, end))
                 end()
             self._restart_ended_nodes()
-            name = self.rng.choice(sorted(FAULTS))
+            name = self.rng.choice(sorted(self.faults))
             self.log.append(f"{now:.2f} {name}")
-            pending.append((now + self.rng.uniform(0.5, 4.0), FAULTS[name](self)))
+            pending.append((now + self.rng.uniform(0.5, 4.0), self.faults[name](self)))
             time.sleep(self.rng.expovariate(1 / MEAN_FAULT_GAP_S))
         for _, end in pending:
             end()
@@ -468,11 +479,33 @@
     return lambda: None
 
 
+def harm_advice(soak: Soak) -> Callable[[], None]:
+    """Make the advice service silent or busy, or let it refuse one worker."""
+    refused = f"i-{soak.rng.randrange(len(soak.site.workers)):04x}"
+    faults = soak.rng.choice([{"silent": True}, {"busy": True}, {"refused": [refused]}])
+    soak.site.set_advice_faults(**faults)
+    return soak.site.set_advice_faults
+
+
+ADVICE_FAULTS: dict[str, Fault] = {"harm_advice": harm_advice}
+"""Faults of runs with advised jobs only: others keep the schedules of their seeds."""
+
+
 def run_seed(
-    seed: int, seconds: float, *, domains: int = 1, crash_share: float = 0.0
+    seed: int,
+    seconds: float,
+    *,
+    domains: int = 1,
+    crash_share: float = 0.0,
+    advised_share: float = 0.0,
 ) -> bool:
     """Run one seed, print the problems and return whether there were none."""
-    soak = Soak(seed, domains=domains, crash_share=crash_share)
+    soak = Soak(
+        seed,
+        domains=domains,
+        crash_share=crash_share,
+        advised_share=advised_share,
+    )
     problems = ["the soak run was aborted"]
     try:
         problems = soak.run(seconds)
@@ -511,6 +544,12 @@
         default=0.0,
         help="share of jobs that crash workers",
     )
+    parser.add_argument(
+        "--advised_share",
+        type=float,
+        default=0.0,
+        help="share of jobs for the queue with advice",
+    )
     options = parser.parse_args()
     first_seed = options.seed if options.seed is not None else int(time.time())
     results = [
@@ -519,6 +558,7 @@
             options.seconds,
             domains=options.domains,
             crash_share=options.crash_share,
+            advised_share=options.advised_share,
         )
         for n in range(options.seeds)
     ]
