Bound the time that choosing a request for advice takes

With a full pool a choice measured and sorted the whole pool for each of a hundred waiting steps: 190 ms with 176 workers and a second with 1,000 (trial without a network), while the leader answers nobody. A leader without an address tells all nodes; rows of advice that are no ticket are left out, not the whole answer.

--- a/src/firladder/_internal/engine/advice.py
+++ b/src/firladder/_internal/engine/advice.py
@@ -134,6 +134,16 @@
             return now >= verdict.expires_at
         return not self.is_usable(step, worker_id, terms, now)
 
+    def list_usable(self, step: StepName, terms: AdviceTerms, now: float) -> set[str]:
+        """Return the workers with a usable ticket for a step."""
+        known = self._verdicts.get(step, ())
+        return {w for w in known if self.is_usable(step, w, terms, now)}
+
+    def list_settled(self, step: StepName, terms: AdviceTerms, now: float) -> set[str]:
+        """Return the workers of which the answer for a step is still in force."""
+        known = self._verdicts.get(step, ())
+        return {w for w in known if not self.is_open(step, w, terms, now)}
+
     def lacks_ticket(self, unit: Unit, now: float) -> bool:
         """Return whether some start of a unit would be rejected if it was sent now."""
         terms = self.find_terms(unit.job)
@@ -166,7 +176,8 @@
         if last is not None and last.pool is pool and last[:2] == (step, now):
             # All single tasks of a step have the same candidates in a pass.
             return last.usable
-        usable = [c for c in pool if self.is_usable(step, c.worker_id, terms, now)]
+        known = self.list_usable(step, terms, now)
+        usable = [c for c in pool if c.worker_id in known] if known else []
         if usable and self._may_get_rack(unit, pool, usable, terms, now):
             usable = []
         self._narrowed = _Narrowed(step, now, pool, usable)
@@ -254,16 +265,6 @@
             return False
         return (step, worker_id) not in self._rejections
 
-    def count_answers(self, step: StepName, terms: AdviceTerms, now: float) -> int:
-        """Return for how many workers of a step an answer is still in force."""
-        known = self._verdicts.get(step, ())
-        return sum(not self.is_open(step, w, terms, now) for w in known)
-
-    def has_usable(self, step: StepName, terms: AdviceTerms, now: float) -> bool:
-        """Return whether a step has any usable ticket."""
-        known = self._verdicts.get(step, ())
-        return any(self.is_usable(step, w, terms, now) for w in known)
-
     def forget(
         self, *, is_over: Callable[[StepName], bool], workers: Collection[str]
     ) -> None:
--- a/src/firladder/_internal/engine/advice_demands.py
+++ b/src/firladder/_internal/engine/advice_demands.py
@@ -44,10 +44,15 @@
         """Return whether the step may preempt other work."""
         return self.job.accepted.priority == 0
 
+    @property
+    def gang(self) -> bool:
+        """Return whether all tasks of a unit must be placed together."""
+        return len(self.units[0].indices) > 1
+
     @property
     def tasks(self) -> int:
         """Return how many tasks must be placed: a whole gang, or the single ones."""
-        if len(self.units[0].indices) > 1:
+        if self.gang:
             return len(self.units[0].indices)
         return min(len(self.units), MAX_COUNTED_TASKS)
 
--- a/src/firladder/_internal/engine/advice_requests.py
+++ b/src/firladder/_internal/engine/advice_requests.py
@@ -4,13 +4,14 @@
 import functools
 import math
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Sequence
 
-from ..models.workload import AdviceTerms
+from ..models.workload import AdviceTerms, Resources
 from .advice import StepName
 from .advice_demands import Demand, list_demands
+from .advice_groups import Group, group_candidates, rank_worker
 from .core import Core
-from .placement import Candidate, count_fitting, group_by_rack, list_suitable, rank_fit
+from .placement import count_fitting, list_suitable
 from .pool_view import PoolView
 from .state import Job, UnitState
 
@@ -62,21 +63,6 @@
         return self.terms.estimate_answer(len(self.workers))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Group:
-    """Candidates that may hold a unit together: a rack, or the whole pool.
-
-    The numbers say how many tasks fit ``now`` or in all (``ever``) on the workers with
-    tickets (``known``), and on these and those that can be asked for (``possible``).
-    """
-
-    asked_for: tuple[Candidate, ...]
-    known_now: int
-    possible_now: int
-    known_ever: int
-    possible_ever: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Finding:
     """What to ask for a step; ``ahead`` if it cannot start now in any case."""
@@ -101,8 +87,18 @@
         self.waiting_steps = 0
         """Steps that are due and have no usable ticket."""
 
-    def choose(self, now: float, wall: float) -> AdviceRequest | None:
-        """Return the next request, or None if nothing is to be asked."""
+    def choose(
+        self,
+        now: float,
+        wall: float,
+        *,
+        may_continue: Callable[[], bool] = lambda: True,
+    ) -> AdviceRequest | None:
+        """Return the next request, or None if nothing is to be asked.
+
+        When ``may_continue`` returns false, no further step is looked at: a full pool
+        with a hundred waiting steps would otherwise block the leader.
+        """
         if now - self._forgot_at >= FORGET_INTERVAL_S:
             self._forgot_at = now
             self._forget()
@@ -112,14 +108,22 @@
         demands = sorted(list_demands(self._core, now, wall), key=self._rank)
         advice = self._core.advice
         self.waiting_steps = sum(
-            d.due and not advice.has_usable(d.step, d.terms, now) for d in demands
+            d.due and not advice.list_usable(d.step, d.terms, now) for d in demands
         )
         if not demands:
             return None
         view = PoolView(self._core, now)
+        find_room = functools.cache(functools.partial(_has_room, view))
         first_ahead: AdviceRequest | None = None
         examined_ahead = 0
         for demand in demands[:MAX_EXAMINED]:
+            if not may_continue():
+                break
+            pool, need = self._find_pool(demand.job), demand.units[0].step.need
+            if examined_ahead >= MAX_ASKED_AHEAD and not (
+                demand.due and (demand.urgent or find_room(pool, need))
+            ):
+                continue
             found = self._examine(demand, view, now)
             if found.request is not None and not found.ahead:
                 return self._take(found.request)
@@ -172,7 +176,7 @@
             return _Finding(request, ahead=False)
         pool_name = self._find_pool(demand.job)
         candidates = list_suitable(demand.units[0].step, view.list_pool(pool_name), ())
-        groups = self._group(demand, candidates, now)
+        groups = group_candidates(advice, demand, candidates, now)
         if not any(g.possible_ever for g in groups):
             self._note_hopeless(demand, pool_name)
             return _Finding(None, ahead=True)
@@ -180,8 +184,8 @@
         need, waited_s = demand.tasks, demand.measure_wait(now)
         if any(g.known_now >= need * (1 + waited_s // KEPT_AFTER_S) for g in groups):
             return _Finding(None, ahead=not demand.due)
-        gang = len(demand.units[0].indices) > 1
-        useful = [g for g in groups if g.asked_for and g.possible_now > g.known_now]
+        gang = demand.gang
+        useful = [g for g in groups if g.open and g.possible_now > g.known_now]
         useful = [g for g in useful if not gang or g.possible_now >= need]
         if useful:
             useful.sort(key=lambda g: -g.possible_now)
@@ -189,7 +193,7 @@
                 self._make_request(demand, useful, now), ahead=not demand.due
             )
         enough = need * (URGENT_CHOICE_FACTOR if demand.urgent else 1)
-        useful = [g for g in groups if g.asked_for and g.possible_ever > g.known_ever]
+        useful = [g for g in groups if g.open and g.possible_ever > g.known_ever]
         useful = [g for g in useful if not gang or g.possible_ever >= need]
         known = [g.known_ever for g in groups]
         if not useful or (max(known) >= need and sum(known) >= enough):
@@ -203,90 +207,18 @@
         named = (q.pool for q in queues if q.name == job.accepted.queue)
         return next(named, job.accepted.pool)
 
-    def _group(
-        self, demand: Demand, candidates: list[Candidate], now: float
-    ) -> list[_Group]:
-        """Return the groups of workers of which one must hold the step's unit."""
-        step, name = demand.units[0].step, demand.step
-        if step.rack:
-            near = [c for c in candidates if c.rack == step.rack]
-            is_open = self._core.advice.is_open
-            if any(is_open(name, c.worker_id, demand.terms, now) for c in near):
-                return [self._measure(demand, near, now)]
-        if step.one_rack and len(demand.units[0].indices) > 1:
-            racks = group_by_rack(candidates)
-            groups = [self._measure(demand, rack, now) for rack in racks]
-            fitting = [g for g in groups if g.possible_ever >= demand.tasks]
-            if fitting:
-                return fitting
-        return [self._measure(demand, candidates, now)]
-
-    def _measure(
-        self, demand: Demand, candidates: Sequence[Candidate], now: float
-    ) -> _Group:
-        advice, name, terms = self._core.advice, demand.step, demand.terms
-        usable = [
-            c for c in candidates if advice.is_usable(name, c.worker_id, terms, now)
-        ]
-        open_ = [c for c in candidates if advice.is_open(name, c.worker_id, terms, now)]
-        known = usable
-        if not demand.urgent and len(demand.units[0].indices) == 1:
-            # Waiting for capacity, single tasks renew their tickets when there is some.
-            known = [c for c in candidates if self._had_ticket(name, c)]
-        known_now, open_now = (
-            self._count_fits(demand, x, free=True) for x in (usable, open_)
-        )
-        known_ever = self._count_fits(demand, known, free=False)
-        possible = {c.worker_id: c for c in (*known, *open_)}.values()
-        return _Group(
-            tuple(sorted(open_, key=functools.partial(self._rank_worker, demand))),
-            known_now,
-            known_now + open_now,
-            known_ever,
-            self._count_fits(demand, possible, free=False),
-        )
-
-    def _had_ticket(self, step: StepName, candidate: Candidate) -> bool:
-        verdict = self._core.advice.find_verdict(step, candidate.worker_id)
-        return verdict is not None and bool(verdict.ticket)
-
-    def _count_fits(
-        self, demand: Demand, candidates: Iterable[Candidate], *, free: bool
-    ) -> int:
-        step = demand.units[0].step
-        limit = step.most_per_worker or demand.tasks
-        return sum(
-            max(
-                0,
-                min(
-                    limit - demand.taken.get(c.worker_id, 0),
-                    count_fitting(c.free if free else c.capacity, step.need),
-                ),
-            )
-            for c in candidates
-        )
-
-    def _rank_worker(self, demand: Demand, candidate: Candidate) -> tuple[object, ...]:
-        """Rank a worker by how likely it is to be wanted, as a planning pass does."""
-        verdict = self._core.advice.find_verdict(demand.step, candidate.worker_id)
-        need = demand.units[0].step.need
-        return (
-            verdict is not None and not verdict.ticket,
-            not candidate.free.covers(need),
-            round(candidate.profile.doubt, 1),
-            rank_fit(candidate, candidate.free, need, fast_first=demand.urgent),
-        )
-
     def _make_request(
-        self, demand: Demand, groups: Sequence[_Group], now: float
+        self, demand: Demand, groups: Sequence[Group], now: float
     ) -> AdviceRequest:
         """Name the first workers, and more if the step is wide or asks again."""
-        workers = [c for group in groups for c in group.asked_for]
+        advice = self._core.advice
+        rank = functools.partial(rank_worker, advice, demand)
+        workers = [c for group in groups for c in sorted(group.open, key=rank)]
         step = demand.units[0].step
         largest = max(count_fitting(c.capacity, step.need) for c in workers)
         per_worker = max(1, min(largest, step.most_per_worker or largest))
         needed = -(-demand.tasks // per_worker)
-        answered = self._core.advice.count_answers(demand.step, demand.terms, now)
+        answered = len(advice.list_settled(demand.step, demand.terms, now))
         limit = max(SMALL_REQUEST, answered, CHOICE_FACTOR * needed)
         named = tuple(c.worker_id for c in workers[: min(limit, MAX_REQUEST)])
         return AdviceRequest(demand.step, named, demand.terms)
@@ -311,3 +243,8 @@
         self._core.note(
             "no worker allowed", job=step[0], step=step[2], workers=len(registered)
         )
+
+
+def _has_room(view: PoolView, pool: str, need: Resources) -> bool:
+    """Return whether some worker of a pool has room for a task now."""
+    return any(c.free.covers(need) for c in view.list_pool(pool))
--- a/src/firladder/_internal/node/advice.py
+++ b/src/firladder/_internal/node/advice.py
@@ -14,6 +14,7 @@
 from ..utils.clocks import Clock
 from ..utils.events import Event, Timeline
 from ..utils.logs import PRIORITY_ATTRIBUTE
+from .pass_loop import PassBudget
 
 logger = logging.getLogger(__name__)
 
@@ -146,7 +147,10 @@
         while True:
             self._wake.clear()
             began_at = self._clock.read_monotonic()
-            request = self._requests.choose(began_at, self._clock.read_wall())
+            budget = PassBudget(clock=self._clock)
+            request = self._requests.choose(
+                began_at, self._clock.read_wall(), may_continue=budget.is_left
+            )
             spent_s = self._clock.read_monotonic() - began_at
             if request is None or not self._calls.available:
                 self._state.reset()
--- a/src/firladder/_internal/node/daemon.py
+++ b/src/firladder/_internal/node/daemon.py
@@ -404,8 +404,11 @@
         self.timeline.record(Event.TERM_ENDED, token=leadership.token, reason=reason)
 
     def _lacks_advice(self) -> bool:
+        """Return whether this leader can get no tickets for queues with advice."""
         advice = self.term.advice if self.term is not None else None
-        return advice is not None and advice.unavailable
+        return advice is not None and (
+            advice.unavailable or not self._advice_calls.available
+        )
 
     async def _hand_over_when_due(self, term: Term) -> None:
         await self._handover.wait_until_due()
--- a/src/firladder/_internal/platform/advice.py
+++ b/src/firladder/_internal/platform/advice.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable, Sequence
+from typing import Any
 
 import msgspec
 
@@ -22,7 +23,7 @@
 
 class _AdviceReply(msgspec.Struct):
     # Rows: worker and ticket.
-    good: list[tuple[str, str]]
+    good: list[list[Any]]
 
 
 def format_step(job_id: str, occurrence: int, step: int) -> str:
@@ -64,4 +65,11 @@
         if isinstance(reply, MalformedBody):
             logger.warning("cannot decode advice: %s", reply.reason)
             return SentUnanswered(reason=f"cannot decode advice: {reply.reason}")
-        return dict(reply.good)
+        return {worker: ticket for worker, ticket, *_ in filter(_is_ticket, reply.good)}
+
+
+def _is_ticket(row: list[Any]) -> bool:
+    if len(row) >= 2 and all(isinstance(x, str) and x for x in row[:2]):
+        return True
+    logger.warning("ignoring a row of advice that is not a worker and its ticket")
+    return False
