--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -137,10 +137,10 @@
             self._tried.clear()
 
     def _list_candidates(self, unit: Unit) -> list[Candidate]:
-        """Return the workers that a unit may be placed on.
+        """Return the workers of the unit's pool.
 
-        This is the only place that chooses them. What narrows them further must return
-        the same objects, as their free capacity is that of the whole pass.
+        What narrows them further must return the same objects, as their free capacity
+        is that of the whole pass.
         """
         return self._view.list_pool(self._waiting.find_pool(unit.job))
 
@@ -149,7 +149,10 @@
         pool = self._list_candidates(unit)
         reservation = self._reservations.find(unit)
         if reservation is not None:
+            if not self._core.advice.may_start(unit, reservation.workers, now):
+                return False
             return self._use_reservation(unit, reservation, pool)
+        pool = self._core.advice.narrow(unit, pool, now)
         demand = self._limits.describe_demand(
             unit, run_time_s=self._estimates.estimate_run(unit)
         )
@@ -200,7 +203,8 @@
         avoided = self._limits.list_avoided(unit, pool)
         found = self._place_within(unit, pool, demand, avoided)
         if found is None:
-            self._shortages.record(demand, unit.step, has_exclusions=bool(avoided))
+            limited = bool(avoided) or self._core.advice.covers(unit)
+            self._shortages.record(demand, unit.step, has_exclusions=limited)
         return found
 
     def _place_single(
