Poll a worker in the middle of a task while its speed is not known

Cause: urgent tasks take about as long as a poll waits, and the members of a gang end together, so that the workers of many urgent gangs stayed unmeasured.

Change: the core shortens one waiting poll for a task at most, to about half of its expected run time, where the worker's slowness is known to less than 15%, no ordinary poll comes in time, and the pool is not one of equal workers.

--- a/features/engine_profiles.feature
+++ b/features/engine_profiles.feature
@@ -84,3 +84,23 @@
     When a new leader finds a task at 50 per cent that takes 10 s
     And 2 s later the task is at 70 per cent
     Then the task is expected to take 10 s in all
+
+  Scenario: A worker of which nothing is known is polled once in the middle of a task
+    An urgent task takes about as long as a poll waits, so that it would end unmeasured.
+    Given 30 workers that take 0.6, 1.0 and 1.6 times as long, and seed 2
+    And they have run usual work for 20 s
+    When an urgent task starts on a new worker
+    Then the next poll there waits between 0.4 and 1.6 s
+    And the one after that waits 2 s
+
+  Scenario: Long tasks are measured by ordinary polls
+    Polls are billed.
+    Given 30 workers that take 0.6, 1.0 and 1.6 times as long, and seed 2
+    And they have run usual work for 20 s
+    When a heavy task starts on a new worker
+    Then the next poll there waits 2 s
+
+  Scenario: Few polls are spent on equal workers
+    Given 30 workers that take 1.0, 1.0 and 1.0 times as long, and seed 1
+    When they run usual work for 40 s
+    Then at most 1 poll in 50 was shortened
--- a/features/steps/engine_profiles_steps.py
+++ b/features/steps/engine_profiles_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from features.support.engine_world import make_job, make_step
-from features.support.uneven_world import UnevenWorld
+from features.support.uneven_world import KINDS, UnevenWorld
 from firladder._internal.engine.health import STALL_TIMEOUT_S
 from firladder._internal.models.order import RunningTask
 from firladder._internal.models.workload import Resources
@@ -225,3 +225,48 @@
     sample = context.world.engine.find_placement("long").sample
     found = math.exp(sample.log_time)
     assert math.isclose(found, seconds, rel_tol=0.05), found
+
+
+@when("an urgent task starts on a new worker")
+def start_urgent(context):
+    start_on_new(context, KINDS[0])
+
+
+@when("a heavy task starts on a new worker")
+def start_heavy(context):
+    start_on_new(context, KINDS[1])
+
+
+def start_on_new(context, kind):
+    world = context.world
+    core, engine = world.engine.core, world.engine
+    entry = dataclasses.replace(engine.entries[0], worker_id="new", address="new:1")
+    context.worker = core.register_worker(entry, now=engine.now)
+    engine.report(context.worker)
+    name = world.submit(*kind, width=1)
+    core.plan_run(engine.find_unit(name), ["new"])
+    engine.make_durable()
+    engine.accept(core.take_starts())
+
+
+def choose_wait(context):
+    engine = context.world.engine
+    return engine.core.choose_poll_wait(context.worker, 2.0, now=engine.now)
+
+
+@then("the next poll there waits between {least:f} and {most:f} s")
+def check_shortened(context, least, most):
+    wait_s = choose_wait(context)
+    assert least < wait_s < most, wait_s
+
+
+@then("the next poll there waits {seconds:d} s")
+@then("the one after that waits {seconds:d} s")
+def check_whole(context, seconds):
+    assert choose_wait(context) == seconds
+
+
+@then("at most 1 poll in {count:d} was shortened")
+def check_few(context, count):
+    world = context.world
+    assert world.shortened * count <= world.polls, (world.shortened, world.polls)
--- a/features/support/uneven_world.py
+++ b/features/support/uneven_world.py
@@ -28,7 +28,8 @@
 class UnevenWorld:
     """Gangs and single tasks on workers that take ``factors`` times as long.
 
-    A worker is polled when a run ends there, or after two seconds, as by its session.
+    A worker is polled when a run ends there, or after two seconds, as by its session,
+    and sooner if the core wants to measure it.
     """
 
     def __init__(self, factors, *, seed=1):
@@ -37,7 +38,8 @@
         self.factors = dict(zip(self.engine.core.workers, factors, strict=True))
         self.failing = set()
         self.runs = {}
-        self.polled_at = dict.fromkeys(self.factors, self.engine.now)
+        self.poll_due_at = dict.fromkeys(self.factors, 0.0)
+        self.polls = self.shortened = 0
         self.numbers = {w: itertools.count(1) for w in self.factors}
         self.names = itertools.count()
         self.work = {}
@@ -70,6 +72,10 @@
         started = engine.start_all()
         engine.accept(started)
         for placement in started:
+            worker = engine.core.workers[placement.worker_id]
+            if len(worker.placements) == 1:
+                wait_s = self.choose_wait(worker)
+                self.poll_due_at[worker.worker_id] = engine.now + wait_s
             run_s, unevenness = self.work[placement.task.job_id]
             tail = TAIL_FACTOR if self.rng.random() < TAIL_SHARE else 1.0
             work_s = run_s * self.rng.lognormvariate(0, unevenness) * tail
@@ -102,10 +108,10 @@
         for run in self.runs.values():
             by_worker.setdefault(run.placement.worker_id, []).append(run)
         for worker_id, runs in by_worker.items():
-            due = engine.now - self.polled_at[worker_id] >= POLL_WAIT_S
+            due = engine.now >= self.poll_due_at[worker_id]
             if not due and not any(run in ended for run in runs):
                 continue
-            self.polled_at[worker_id] = engine.now
+            self.polls += 1
             rows, ends = [], []
             for run in runs:
                 task, number = run.placement.key
@@ -116,7 +122,16 @@
                 else:
                     percent = min(100, int(100 * run.done_s / run.work_s))
                     rows.append(RunningTask(task, number, "", percent))
-            engine.report(engine.core.workers[worker_id], rows, ends)
+            worker = engine.core.workers[worker_id]
+            engine.report(worker, rows, ends)
+            wait_s = self.choose_wait(worker)
+            self.poll_due_at[worker_id] = engine.now + wait_s
+
+    def choose_wait(self, worker):
+        now = self.engine.now
+        wait_s = self.engine.core.choose_poll_wait(worker, POLL_WAIT_S, now=now)
+        self.shortened += wait_s < POLL_WAIT_S
+        return wait_s
 
     def find(self, worker_id):
         return self.engine.core.profiles.find(worker_id, self.engine.now)
--- a/src/firladder/_internal/engine/core.py
+++ b/src/firladder/_internal/engine/core.py
@@ -4,6 +4,7 @@
 
 from ..models.workload import AcceptedJob, WorkerEntry
 from .leases import LATE_ORDER_S, convert_recorded_expiry, estimate_inherited_expiry
+from .measuring import choose_wait
 from .progress import JobProgress, restore_job
 from .reports import Reports
 from .state import Job, JobState, Worker, build_job
@@ -106,6 +107,22 @@
         self.early_cancels.discard(job_id)
         self.speeds.forget_job(job_id)
 
+    def choose_poll_wait(self, worker: Worker, wait_s: float, *, now: float) -> float:
+        """Return how long a poll may wait for a run to end, in seconds.
+
+        It waits for less than ``wait_s`` if a task there is to be measured.
+        """
+        wait_s, measured = choose_wait(self.profiles, worker, wait_s, now)
+        if measured is not None:
+            measured.measured_by_poll = True
+            self.note(
+                "worker measured",
+                worker=worker.worker_id,
+                job=measured.task.job_id,
+                wait_s=round(wait_s, 3),
+            )
+        return wait_s
+
     def read_state(self, job_id: str) -> JobState | None:
         """Return the state to show to callers, or None if the job is unknown."""
         job = self.jobs.get(job_id)
--- a/src/firladder/_internal/engine/profiles.py
+++ b/src/firladder/_internal/engine/profiles.py
@@ -70,6 +70,23 @@
         found = self.machines.pools.get(pool)
         return 0.0 if found is None else found.spread
 
+    def is_uncertain(
+        self, worker_id: str, pool: str, *, sd: float, enough_pairs: int
+    ) -> bool:
+        """Return whether a worker's slowness is known to less than ``sd``.
+
+        After ``enough_pairs`` pairs of tasks, no worker is uncertain in a pool whose
+        workers cannot be told apart.
+        """
+        machine = self.machines.obtain(worker_id, pool)
+        if not machine.pool.distinct and machine.pool.pairs >= enough_pairs:
+            return False
+        return machine.total_precision * sd * sd < 1
+
+    def predict_run_time(self, unit: Unit, worker_id: str) -> tuple[float, float]:
+        """Return the expected log run time of a task on a worker, and its variance."""
+        return self.speeds.predict_run_time(unit, worker_id)
+
     def record_failure(self, unit: Unit, placement: Placement, now: float) -> None:
         """Record that a run failed, stalled or was refused."""
         machine = self.machines.obtain(placement.worker_id, unit.job.accepted.pool)
--- a/src/firladder/_internal/engine/speeds.py
+++ b/src/firladder/_internal/engine/speeds.py
@@ -126,6 +126,11 @@
             del self._links[link.step, link.machine]
             _settle_link(link)
 
+    def predict_run_time(self, unit: Unit, worker_id: str) -> tuple[float, float]:
+        """Return the expected log run time of a task on a worker, and its variance."""
+        machine = self.machines.obtain(worker_id, unit.job.accepted.pool)
+        return SpeedLink(machine, self.steps.obtain(unit)).predict()
+
     def forget_worker(self, worker_id: str) -> None:
         """Drop a worker that is gone; its machine's estimate is kept."""
         self.machines.release(worker_id)
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -92,7 +92,8 @@
 
     ``ran_from_start`` says that the task started under this leader and without a
     checkpoint, so that its run time can be learned; ``sample`` is what its progress
-    has told of its worker's speed.
+    has told of its worker's speed. ``measured_by_poll`` says that a poll was shortened
+    for it, and ``stall_recorded`` that its worker is doubted because it stands still.
 
     ``reported`` says that the worker has listed the run as running, so it will list
     its end too. ``may_start_late`` says that one copy of its start order got no
@@ -118,6 +119,7 @@
     ran_from_start: bool = False
     sample: "Sample | None" = None
     stall_recorded: bool = False
+    measured_by_poll: bool = False
     stop_sent_at: float = -math.inf
     stop_answered: bool = False
     reported: bool = False
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -246,7 +246,10 @@
             # This poll proves that a run is absent, so that its task can be planned
             # again. Where nothing runs, waiting for an end only delays that.
             return 0.0
-        return DRAINING_POLL_WAIT_S if worker.entry.draining else POLL_WAIT_S
+        if worker.entry.draining:
+            return DRAINING_POLL_WAIT_S
+        now = self._context.clock.read_monotonic()
+        return self._core.choose_poll_wait(worker, POLL_WAIT_S, now=now)
 
     def _choose_poll_timeout(self, wait_s: float) -> float:
         usual_s = self._context.timeout_estimator.timeout_s
