Keep what was learned of workers in the store, for the next leader

Cause: each new leader learned the speeds of all workers anew, and urgent work was late on slow workers meanwhile.

A new leader reads it beside the listings and goes on without it if it is late, unreadable or of another version. A report that is read late no longer looks like a slow worker, and a task whose start was not answered is measured from its first report on.

--- a/features/engine_profiles.feature
+++ b/features/engine_profiles.feature
@@ -85,6 +85,20 @@
     And 2 s later the task is at 70 per cent
     Then the task is expected to take 10 s in all
 
+  Scenario: A report that is read late makes no worker look slow
+    A planning pass delays the reading of reports by a tenth of a second or two.
+    Given 9 workers that take 1.0, 1.0 and 1.0 times as long, and seed 1
+    When a task of 2 s on worker 4 is reported at 40 per cent after 0.8 s
+    And it is reported at 45 per cent 0.3 s later
+    Then worker 4 counts as any other
+
+  Scenario: A task that is first seen at work says nothing of its start
+    The answer to its start was lost; it would look far too fast.
+    Given 9 workers that take 1.0, 1.0 and 1.0 times as long, and seed 1
+    When a start is not answered, and its task of 10 s is first reported at 20 per cent
+    And it is reported at 40 per cent 2.0 s later
+    Then the task is expected to take 10 s in all
+
   Scenario: A worker of which nothing is known is polled once in the middle of a task
     An urgent task takes about as long as a poll waits, so that it would end unmeasured.
     Given 30 workers that take 0.6, 1.0 and 1.6 times as long, and seed 2
--- a/features/steps/engine_profiles_steps.py
+++ b/features/steps/engine_profiles_steps.py
@@ -270,3 +270,38 @@
 def check_few(context, count):
     world = context.world
     assert world.shortened * count <= world.polls, (world.shortened, world.polls)
+
+
+@when(
+    "a task of 2 s on worker {number:d} is reported at {percent:d} per cent after "
+    "{seconds:f} s"
+)
+def report_task(context, number, percent, seconds):
+    start_on(context.world, f"w{number}", "long")
+    context.world.engine.now += seconds
+    report_percent(context.world.engine, percent)
+
+
+@when(
+    "a start is not answered, and its task of 10 s is first reported at "
+    "{percent:d} per cent"
+)
+def report_unanswered(context, percent):
+    engine = context.world.engine
+    engine.submit(make_job("long", make_step(1, 1), at=engine.now))
+    engine.core.plan_run(engine.find_unit("long"), ["w4"])
+    engine.make_durable()
+    engine.core.take_starts()
+    engine.now += percent / 10
+    report_percent(engine, percent)
+
+
+@when("it is reported at {percent:d} per cent {seconds:f} s later")
+def report_again(context, percent, seconds):
+    context.world.engine.now += seconds
+    report_percent(context.world.engine, percent)
+
+
+@then("worker {number:d} counts as any other")
+def check_any(context, number):
+    assert context.world.find(f"w{number}").slowness == 1.0
--- a/features/support/gang_store.py
+++ b/features/support/gang_store.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Callable
 
-from firladder._internal.exceptions import LeaseEnded, StoreUncertain
+from firladder._internal.exceptions import LeaseEnded, NotFound, StoreUncertain
 from firladder._internal.node.election import LEASE_S as LEADER_LEASE_S
 from firladder._internal.node.keys import LEADER
 from firladder._internal.platform.store import (
@@ -97,6 +97,15 @@
         self._choose_fault = choose_fault
         self._late: set[asyncio.Task] = set()
 
+    @property
+    def reachable(self) -> bool:
+        return not (self.cut or self.store.is_down())
+
+    async def read_item(self, key: str, *, timeout_s: float = 0.8):
+        if not await self._reach(timeout_s):
+            return NO_STORE
+        return self.store.items.get(key, NotFound(reason="no such key"))
+
     async def _reach(self, timeout_s: float) -> bool:
         if self.cut or self.store.is_down():
             await asyncio.sleep(timeout_s)
--- a/src/firladder/_internal/engine/machines.py
+++ b/src/firladder/_internal/engine/machines.py
@@ -1,6 +1,5 @@
 """The machines behind workers, and what was learned of each."""
 
-import collections
 import dataclasses
 import hashlib
 import math
@@ -16,6 +15,9 @@
 """Machines without a worker that are kept: restarts of two hundred workers at once are
 usual, and a machine that is replaced for good never comes back."""
 
+SIGNIFICANT_CHANGE = 0.1
+"""Change of a log slowness that is worth a new record."""
+
 RESIDUALS_KEPT = 6
 """Residuals of a machine that are paired with the next one, to learn the spread."""
 
@@ -76,9 +78,7 @@
     mean: float = 0.0
     measured: bool = False
     changed_at: float = 0.0
-    residuals: collections.deque[tuple[str, float, float]] = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=RESIDUALS_KEPT)
-    )
+    residuals: tuple[tuple[str, float, float], ...] = ()
     product_sum: float = 0.0
     product_weight: float = 0.0
     slow: SlowPhase = dataclasses.field(default_factory=SlowPhase)
@@ -107,6 +107,9 @@
         self.mean = mean
         self.measured = True
         self.profile = None
+        recorded = self.recorded
+        if recorded is None or abs(mean - recorded) > SIGNIFICANT_CHANGE:
+            self.pool.unrecorded = True
 
 
 class Machines:
--- a/src/firladder/_internal/engine/pool_spread.py
+++ b/src/firladder/_internal/engine/pool_spread.py
@@ -63,6 +63,8 @@
         self.worker_weight = 0.0
         self.runs = 0
         self.failed_runs = 0.0
+        self.unrecorded = False
+        """Whether something changed that the newest record lacks."""
         self._epoch_centre = 0.0
         self._epoch_variance = PRIOR_VARIANCE
 
--- a/src/firladder/_internal/engine/profiles.py
+++ b/src/firladder/_internal/engine/profiles.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from ..exceptions import MalformedBody
 from ..models.workload import WorkerEntry
 from .doubts import (
     compute_doubt,
@@ -11,6 +12,7 @@
     record_good_run,
 )
 from .machines import Machine, Machines, WorkerProfile
+from .profile_records import encode_profiles, restore_profiles
 from .slow_phases import Note
 from .speeds import Speeds
 from .state import Placement, Unit
@@ -70,6 +72,38 @@
         found = self.machines.pools.get(pool)
         return 0.0 if found is None else found.spread
 
+    @property
+    def unrecorded(self) -> bool:
+        """Whether something significant changed since the last record."""
+        return any(pool.unrecorded for pool in self.machines.pools.values())
+
+    def encode(self, now: float, *, wall: float) -> bytes:
+        """Return the record for a successor.
+
+        ``wall`` is the Unix time at ``now``: a successor's other clock is not ours.
+        """
+        for machine in self.machines:
+            machine.recorded = machine.mean if machine.measured else None
+        for pool in self.machines.pools.values():
+            pool.unrecorded = False
+        return encode_profiles(self.machines, self.speeds.steps, now=now, wall=wall)
+
+    def mark_unrecorded(self) -> None:
+        """Note that the newest record was not stored."""
+        for pool in self.machines.pools.values():
+            pool.unrecorded = True
+
+    def restore(self, value: bytes, now: float, *, wall: float) -> None | MalformedBody:
+        """Restore a former leader's record; what was learned since then is kept."""
+        found = restore_profiles(
+            value, self.machines, self.speeds.steps, now=now, wall=wall
+        )
+        if isinstance(found, MalformedBody):
+            return found
+        spreads = {p.name: round(p.spread, 3) for p in self.machines.pools.values()}
+        self._note("profiles restored", machines=found, spreads=spreads)
+        return None
+
     def is_uncertain(
         self, worker_id: str, pool: str, *, sd: float, enough_pairs: int
     ) -> bool:
--- a/src/firladder/_internal/engine/slow_phases.py
+++ b/src/firladder/_internal/engine/slow_phases.py
@@ -31,6 +31,10 @@
 """Progress that is expected within a window before it is judged: with less, rounding to
 whole per cent looks like a change."""
 
+LATE_READ_S = 0.2
+"""Seconds by which a report may be read later than the one before: planning passes take
+a tenth of a second."""
+
 MAX_LOG_FACTOR = math.log(20.0)
 """Bound of the current slowness: a worker that stands still makes no progress."""
 
@@ -80,7 +84,8 @@
         ``log_time`` and its ``variance`` are from its own earlier rate (``own``), or
         from other tasks.
         """
-        expected = (now - window.since) * 100 / math.exp(log_time)
+        elapsed_s = now - window.since - LATE_READ_S
+        expected = elapsed_s * 100 / math.exp(log_time)
         if expected < MIN_EXPECTED_PERCENT:
             return
         excess = math.log(expected / (max(0.0, percent - window.percent) + 0.5))
--- a/src/firladder/_internal/engine/speeds.py
+++ b/src/firladder/_internal/engine/speeds.py
@@ -2,7 +2,7 @@
 
 import math
 
-from .machines import Machine, Machines
+from .machines import RESIDUALS_KEPT, Machine, Machines
 from .pool_spread import PoolSpread
 from .slow_phases import Note, SlowPhases, Window
 from .speed_links import Sample, SpeedLink
@@ -153,10 +153,12 @@
             return None
         began_at = placement.active_at if alone else unit.active_since
         began_percent = 0.0
-        exact = placement.ran_from_start
+        # A task whose start was not answered is first seen at work.
+        seen_at_work = placement.percent >= 1 and now <= began_at
+        exact = placement.ran_from_start and not seen_at_work
         if not exact:
-            # Work that was resumed, or that a former leader started: only the
-            # progress from here on is known.
+            # Work that was resumed, that a former leader started, or whose start is
+            # not known: only the progress from here on is.
             began_at, began_percent = now, placement.percent + 0.5
         link = self._obtain_link(unit, placement)
         link.running += 1
@@ -223,7 +225,8 @@
         weight = PAIRED_VARIANCE / (PAIRED_VARIANCE + step_variance)
         pool = machine.pool
         others = [row for row in machine.residuals if row[0] != job_id]
-        machine.residuals.append((job_id, weight * residual, weight))
+        newest = (job_id, weight * residual, weight)
+        machine.residuals = (*machine.residuals[1 - RESIDUALS_KEPT :], newest)
         pool.add_residual(weight * residual, len(others))
         if not others:
             return
--- a/src/firladder/_internal/node/keys.py
+++ b/src/firladder/_internal/node/keys.py
@@ -11,3 +11,6 @@
 
 PROGRESS = "firladder/run/"
 """Records that only the leader writes: the progress of each job."""
+
+PROFILES = "firladder/profiles"
+"""The record that only the leader writes of what it has learned of workers."""
--- a/src/firladder/_internal/node/metrics.py
+++ b/src/firladder/_internal/node/metrics.py
@@ -72,6 +72,18 @@
             "firladder_core_decisions_total",
             "Decisions of the scheduling core in this term, by what was decided",
         )
+        self.measured = self._gauge(
+            "firladder_workers_measured_count",
+            "Workers whose speed was observed, at the leader, by pool",
+        )
+        self.spread = self._gauge(
+            "firladder_workers_spread_ratio",
+            "Standard deviation of the logarithm of workers' slowness, by pool",
+        )
+        self.profiles = self._gauge(
+            "firladder_profiles_written_bytes",
+            "Size of the newest record of what the leader has learned of workers",
+        )
         self.order_waits = Histogram(
             "firladder_order_wait_seconds",
             "Time that an order waits for others to the same worker, by kind",
@@ -126,6 +138,10 @@
         self.worker_calls.set({}, term.calls.calls)
         for what, count in term.decisions.items():
             self.decisions.set({"what": what}, count)
+        for pool in term.core.profiles.machines.pools.values():
+            self.measured.set({"pool": pool.name}, pool.mean_count)
+            self.spread.set({"pool": pool.name}, pool.spread)
+        self.profiles.set({}, term.profile_writer.written_bytes)
         for domain in term.core.evacuated:
             count = sum(
                 len(w.placements)
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -35,6 +35,7 @@
 from .order_window import OrderWindow
 from .pass_loop import PassBudget, PassLoop
 from .prefix_watch import PrefixWatch
+from .profile_writer import ProfileWriter
 from .progress_writer import ProgressWriter
 from .retention import Retention
 from .session_context import Waiter
@@ -62,6 +63,10 @@
 READ_RETRY_S = 0.1
 """Seconds before a failed listing is retried."""
 
+PROFILES_GRACE_S = 0.1
+"""Seconds for which a new leader waits for the profiles after everything else was read:
+without them it only learns anew."""
+
 
 PRIORITY_DECISIONS = frozenset(
     (
@@ -140,7 +145,9 @@
             on_durable=self._on_durable,
             on_write=self._leader_load.record_write,
         )
-
+        self.profile_writer = ProfileWriter(
+            core=self.core, store=store, token=leadership.token, clock=clock
+        )
         self._retention = Retention(
             core=self.core,
             store=store,
@@ -228,18 +235,21 @@
         # The first report is about this term, not about the time before it.
         self._traffic.take_report()
         writer = self._tasks.spawn(self._progress_writer.run(), name="journal")
-        writer.add_done_callback(self._on_progress_writer_end)
+        writer.add_done_callback(self._on_writer_end)
+        profile_writer = self._tasks.spawn(self.profile_writer.run(), name="profiles")
+        profile_writer.add_done_callback(self._on_writer_end)
         self._tasks.spawn(self._pass_loop.run(), name="plan")
         self._tasks.spawn(self._tick_forever(), name="tick")
         self._tasks.spawn(self._retention.run(), name="retention")
 
-    def _on_progress_writer_end(self, task: "asyncio.Task[NotLeader]") -> None:
+    def _on_writer_end(self, task: "asyncio.Task[NotLeader]") -> None:
         if not task.cancelled() and task.exception() is None:
             self.step_down(task.result().reason)
 
     # -- loading and watching the store --------------------------------------------
 
     async def _load(self) -> bool:
+        profiles = self._tasks.spawn(self.profile_writer.read(), name="read-profiles")
         submissions, progress, workers, evacuations = await asyncio.gather(
             self._read_prefix(SUBMISSIONS),
             self._read_prefix(PROGRESS),
@@ -250,6 +260,8 @@
             return False
         if evacuations is None:
             return False
+        await asyncio.wait((profiles,), timeout=PROFILES_GRACE_S)
+        profiles.cancel()
         self._apply_worker_listing(workers)
         self._evacuations.apply_listing(evacuations)
         recorded: dict[str, JobProgress] = {}
