--- a/features/node_profiles.feature
+++ b/features/node_profiles.feature
@@ -60,5 +60,17 @@
       | of another version |
       | empty              |
 
+  Scenario Outline: A new leader does not wait long for the record
+    Guards against a term that is delayed, or ended, by what it can do without.
+    Given a leader that has learned the speeds of 30 workers
+    And it has written for 6 s
+    When a successor loads while the record is read <how>
+    Then it is ready within <within> s, and knows <known> workers
+
+    Examples:
+      | how                 | within | known |
+      | as fast as the rest | 0.1    | 30    |
+      | 5.0 s later         | 0.2    | 0     |
+
   Scenario: The record of a large fleet is small
     Then the record of 3000 workers has at most 40 bytes for each
--- a/features/steps/node_profiles_steps.py
+++ b/features/steps/node_profiles_steps.py
@@ -9,6 +9,7 @@
 from features.support.engine_world import make_entry, make_job, make_step
 from features.support.fake_workers import SimulatedLeader
 from features.support.gang_store import Fate, Fault, FaultyStore, StoreClient
+from features.support.loaded_term import LoadedTerm
 from features.support.uneven_world import UnevenWorld
 from features.support.virtual_time import run_in_virtual_time
 from firladder._internal.engine.core import Core
@@ -142,6 +143,7 @@
     context.writing.store.put(PROFILES, RECORDS[what])
 
 
+@given("it has written for {seconds:d} s")
 @when("it has written for {seconds:d} s")
 @when("it has written for {seconds:d} s and a successor reads the record")
 def write(context, seconds):
@@ -206,3 +208,49 @@
         machine.update_mean()
     size = len(profiles.encode(5000.0, wall=1.8e9))
     assert size <= most * count, size
+
+
+class LoadingTerm(LoadedTerm):
+    """A term that reads its records from ``client``."""
+
+    def __init__(self, client):
+        super().__init__()
+        self._store = client
+        self.profile_writer = ProfileWriter(
+            core=self.core, store=client, token=1, clock=self.clock
+        )
+
+
+@when("a successor loads while the record is read as fast as the rest")
+def load_at_once(context):
+    load(context, 0.0)
+
+
+@when("a successor loads while the record is read {late:f} s later")
+def load_late(context, late):
+    load(context, late)
+
+
+def load(context, late_s):
+    client = context.writing.client
+    read_item = client.read_item
+
+    async def read_late(key):
+        await asyncio.sleep(late_s)
+        return await read_item(key)
+
+    async def run():
+        client.read_item = read_late
+        term = LoadingTerm(client)
+        assert await term._load()
+        context.took_s = asyncio.get_running_loop().time()
+        context.known = sum(m.measured for m in term.core.profiles.machines)
+        await term._tasks.close()
+
+    run_in_virtual_time(run())
+
+
+@then("it is ready within {within:f} s, and knows {known:d} workers")
+def check_loaded(context, within, known):
+    assert context.took_s < within, context.took_s
+    assert context.known == known, context.known
