--- a/features/engine_profiles.feature
+++ b/features/engine_profiles.feature
@@ -118,3 +118,15 @@
     Given 30 workers that take 1.0, 1.0 and 1.0 times as long, and seed 1
     When they run usual work for 40 s
     Then at most 1 poll in 50 was shortened
+
+  Scenario Outline: Nothing is decided otherwise on a pool of equal workers
+    Guards against chance in what is learned that changes placements.
+    Given a day of uneven tasks on 48 equal workers, and seed <seed>
+    When it is played with the profiles, and without them
+    Then every job ends at the same time
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
--- a/features/steps/engine_profiles_steps.py
+++ b/features/steps/engine_profiles_steps.py
@@ -7,6 +7,10 @@
 from features.support.engine_world import make_job, make_step
 from features.support.uneven_world import KINDS, UnevenWorld
 from firladder._internal.engine.health import STALL_TIMEOUT_S
+from firladder._internal.engine.planning import Planner
+from firladder._internal.engine.profiles import UNKNOWN
+from firladder._internal.evaluation.day_driver import DayDriver
+from firladder._internal.evaluation.day_loads import UNEVEN_POOL, _make_day
 from firladder._internal.models.order import RunningTask
 from firladder._internal.models.workload import Resources
 
@@ -305,3 +309,29 @@
 @then("worker {number:d} counts as any other")
 def check_any(context, number):
     assert context.world.find(f"w{number}").slowness == 1.0
+
+
+@given("a day of uneven tasks on 48 equal workers, and seed {seed:d}")
+def make_day(context, seed):
+    pool = dataclasses.replace(UNEVEN_POOL, workers=48, slowdowns=(1.0,))
+    context.day = _make_day(
+        seed, pool, rate_factor=0.28, burst_factor=2.0, initial_share=0.28
+    )
+
+
+@when("it is played with the profiles, and without them")
+def play_twice(context):
+    drivers = [DayDriver(context.day, Planner) for _ in range(2)]
+    drivers[1].core.profiles.find = lambda _worker_id, _now: UNKNOWN
+    for driver in drivers:
+        driver.run()
+    context.ends = [
+        {job_id: outcome.ended_at for job_id, outcome in driver.job_outcomes.items()}
+        for driver in drivers
+    ]
+
+
+@then("every job ends at the same time")
+def check_same(context):
+    learned, unknown = context.ends
+    assert learned == unknown
