--- a/features/steps/engine_profiles_steps.py
+++ b/features/steps/engine_profiles_steps.py
@@ -5,8 +5,12 @@
 from behave import given, then, when
 
 from features.support.engine_world import make_job, make_step
-from features.support.uneven_world import UnevenWorld
+from features.support.uneven_world import KINDS, UnevenWorld
 from firladder._internal.engine.health import STALL_TIMEOUT_S
+from firladder._internal.engine.planning import Planner
+from firladder._internal.engine.profiles import UNKNOWN
+from firladder._internal.evaluation.day_driver import DayDriver
+from firladder._internal.evaluation.day_loads import UNEVEN_POOL, _make_day
 from firladder._internal.models.order import RunningTask
 from firladder._internal.models.workload import Resources
 
@@ -225,3 +229,109 @@
     sample = context.world.engine.find_placement("long").sample
     found = math.exp(sample.log_time)
     assert math.isclose(found, seconds, rel_tol=0.05), found
+
+
+@when("an urgent task starts on a new worker")
+def start_urgent(context):
+    start_on_new(context, KINDS[0])
+
+
+@when("a heavy task starts on a new worker")
+def start_heavy(context):
+    start_on_new(context, KINDS[1])
+
+
+def start_on_new(context, kind):
+    world = context.world
+    core, engine = world.engine.core, world.engine
+    entry = dataclasses.replace(engine.entries[0], worker_id="new", address="new:1")
+    context.worker = core.register_worker(entry, now=engine.now)
+    engine.report(context.worker)
+    name = world.submit(*kind, width=1)
+    core.plan_run(engine.find_unit(name), ["new"])
+    engine.make_durable()
+    engine.accept(core.take_starts())
+
+
+def choose_wait(context):
+    engine = context.world.engine
+    return engine.core.choose_poll_wait(context.worker, 2.0, now=engine.now)
+
+
+@then("the next poll there waits between {least:f} and {most:f} s")
+def check_shortened(context, least, most):
+    wait_s = choose_wait(context)
+    assert least < wait_s < most, wait_s
+
+
+@then("the next poll there waits {seconds:d} s")
+@then("the one after that waits {seconds:d} s")
+def check_whole(context, seconds):
+    assert choose_wait(context) == seconds
+
+
+@then("at most 1 poll in {count:d} was shortened")
+def check_few(context, count):
+    world = context.world
+    assert world.shortened * count <= world.polls, (world.shortened, world.polls)
+
+
+@when(
+    "a task of 2 s on worker {number:d} is reported at {percent:d} per cent after "
+    "{seconds:f} s"
+)
+def report_task(context, number, percent, seconds):
+    start_on(context.world, f"w{number}", "long")
+    context.world.engine.now += seconds
+    report_percent(context.world.engine, percent)
+
+
+@when(
+    "a start is not answered, and its task of 10 s is first reported at "
+    "{percent:d} per cent"
+)
+def report_unanswered(context, percent):
+    engine = context.world.engine
+    engine.submit(make_job("long", make_step(1, 1), at=engine.now))
+    engine.core.plan_run(engine.find_unit("long"), ["w4"])
+    engine.make_durable()
+    engine.core.take_starts()
+    engine.now += percent / 10
+    report_percent(engine, percent)
+
+
+@when("it is reported at {percent:d} per cent {seconds:f} s later")
+def report_again(context, percent, seconds):
+    context.world.engine.now += seconds
+    report_percent(context.world.engine, percent)
+
+
+@then("worker {number:d} counts as any other")
+def check_any(context, number):
+    assert context.world.find(f"w{number}").slowness == 1.0
+
+
+@given("a day of uneven tasks on 48 equal workers, and seed {seed:d}")
+def make_day(context, seed):
+    pool = dataclasses.replace(UNEVEN_POOL, workers=48, slowdowns=(1.0,))
+    context.day = _make_day(
+        seed, pool, rate_factor=0.28, burst_factor=2.0, initial_share=0.28
+    )
+
+
+@when("it is played with the profiles, and without them")
+def play_twice(context):
+    drivers = [DayDriver(context.day, Planner) for _ in range(2)]
+    drivers[1].core.profiles.find = lambda _worker_id, _now: UNKNOWN
+    for driver in drivers:
+        driver.run()
+    context.ends = [
+        {job_id: outcome.ended_at for job_id, outcome in driver.job_outcomes.items()}
+        for driver in drivers
+    ]
+
+
+@then("every job ends at the same time")
+def check_same(context):
+    learned, unknown = context.ends
+    assert learned == unknown
