--- a/features/engine_days.feature
+++ b/features/engine_days.feature
@@ -25,9 +25,34 @@
     When the day is played by "engine"
     Then the saved work ends within 13 s of its arrival, and nothing was lost
 
+  Scenario Outline: A fault has its effect on a run, and is named as its delay
+    Days with faults decide between ways of planning. They would mislead if a fault had
+    no effect, if a run were lost with its leader, or if another cause were named.
+    When a day of one job of 10 s on two workers is played, on which <fault>
+    Then the job takes <least> s to <most> s, most delayed by: <cause>
+    And <runs> runs were started, and <lost> work was lost
+
+    Examples:
+      | fault                                    | least | most | runs | lost | cause               |
+      | w000 is 6.5 times slower from 4 s to 6 s | 11.7  | 11.9 | 1    | no   | slow worker         |
+      | w000 fails all that it starts until 2 s  | 10.2  | 20.5 | 2    | some | failed run          |
+      | w000 leaves at 5 s, as it says at 2 s    | 12.1  | 13.5 | 2    | some | preempted or lost   |
+      | w000 is lost at 2 s                      | 12.0  | 12.3 | 2    | some | preempted or lost   |
+      | the store is away from -1 s to 3 s       | 13.0  | 16.2 | 1    | no   | store away          |
+      | the store is away from 8 s to 12 s       | 12.0  | 12.1 | 1    | no   | store away          |
+      | there is no leader from 4 s to 9 s       | 10.0  | 10.2 | 1    | no   | waited for capacity |
+      | there is no leader from 8 s to 12 s      | 12.0  | 12.1 | 1    | no   | leader away         |
+
+  Scenario: A job that its caller cancels is stopped, and counts neither way
+    If cancelled jobs counted, a planner would gain by ending them before their cancel.
+    When a job of 10 s on one worker is cancelled at 2 s, with another behind it
+    Then the other one has ended by 13 s, and only its worth counts
+
   Scenario: Days and planners are named in the command's table
     When "evaluate_days --days=small_pool --planners=first_come --day_seeds=1" is run
-    Then it prints a row for "small_pool" and "first_come" with 11 more columns
+    Then it prints a row for "small_pool" and "first_come" with 17 more columns
+    When "evaluate_days --days=small_pool --planners=first_come --day_seeds=1 --format=json" is run
+    Then it prints JSON with the same columns, and the share of each seed
     When "evaluate_days --planners=nobody" is run
     Then it fails and names "nobody" and "easy_backfill"
 
--- a/features/steps/engine_days_steps.py
+++ b/features/steps/engine_days_steps.py
@@ -1,4 +1,5 @@
 import dataclasses
+import json
 import subprocess
 import sys
 
@@ -9,7 +10,9 @@
 from firladder._internal.engine.planning import Planner
 from firladder._internal.engine.shortages import Shortages
 from firladder._internal.evaluation.day_driver import DayDriver
-from firladder._internal.evaluation.day_loads import DAYS, HEAVY, URGENT, DayJob
+from firladder._internal.evaluation.day_jobs import DayJob, Departure, Spell
+from firladder._internal.evaluation.day_kinds import HEAVY, URGENT
+from firladder._internal.evaluation.day_loads import DAYS
 from firladder._internal.evaluation.day_policies import PLANNERS
 from firladder._internal.evaluation.day_report import simulate_days
 from standins.site import ROOT
@@ -67,7 +70,7 @@
 
 
 def make_day_job(day, kind, at, step, takes_s):
-    model = next(j.accepted for j in day.jobs if j.kind is kind)
+    model = next(j.accepted for j in day.jobs if j.kind.name == kind.name)
     workload = dataclasses.replace(model.workload, steps=(step,))
     accepted = dataclasses.replace(model, accepted_at_s=at, workload=workload)
     return DayJob(accepted, kind, takes_s)
@@ -102,6 +105,78 @@
     assert context.outcome.preemptions == 1
 
 
+FAULTS = {
+    "w000 is 6.5 times slower from 4 s to 6 s": {
+        "spells": (Spell(4.0, 6.0, "w000", slowdown=6.5),)
+    },
+    "w000 fails all that it starts until 2 s": {
+        "spells": (Spell(0.0, 2.0, "w000", failing=True),)
+    },
+    "w000 leaves at 5 s, as it says at 2 s": {
+        "departures": (Departure(2.0, "w000", 3.0),)
+    },
+    "w000 is lost at 2 s": {"lost": ((2.0, "w000"),)},
+    "the store is away from -1 s to 3 s": {"outages": ((-1.0, 3.0),)},
+    "the store is away from 8 s to 12 s": {"outages": ((8.0, 12.0),)},
+    "there is no leader from 4 s to 9 s": {"takeovers": ((4.0, 9.0),)},
+    "there is no leader from 8 s to 12 s": {"takeovers": ((8.0, 12.0),)},
+}
+
+
+@when("a day of one job of 10 s on two workers is played, on which {fault}")
+def play_fault(context, fault):
+    day = DAYS.find("uneven")(1)
+    step = make_step(1, 8, gang=True)
+    kind = dataclasses.replace(HEAVY, failed_share=0.0)
+    day = dataclasses.replace(
+        day,
+        workers=day.workers[:2],
+        slowdowns={},
+        jobs=(make_day_job(day, kind, 0.0, step, 10.0),),
+        **FAULTS[fault],
+    )
+    context.driver = DayDriver(day, PLANNERS.find("engine"))
+    context.outcome = context.driver.run()
+
+
+@then("the job takes {least:f} s to {most:f} s, most delayed by: {cause}")
+def check_delay(context, least, most, cause):
+    (found,) = context.driver.job_outcomes.values()
+    assert least <= found.took_s <= most, found
+    assert found.find_main_delay() == cause, found
+
+
+@then("{count:d} runs were started, and {work} work was lost")
+def check_runs(context, count, work):
+    (job,) = context.driver.core.jobs.values()
+    assert job.units[0].run == count, job
+    assert (context.outcome.lost_core_s > 0) == (work == "some"), context.outcome
+
+
+@when("a job of 10 s on one worker is cancelled at 2 s, with another behind it")
+def cancel(context):
+    day = DAYS.find("uneven")(1)
+    step = make_step(1, 8, gang=True)
+    first, second = (make_day_job(day, HEAVY, at, step, 10.0) for at in (0.0, 1.0))
+    accepted = dataclasses.replace(second.accepted, job_id="0" * 16)
+    jobs = (
+        dataclasses.replace(first, cancelled_at_s=2.0),
+        dataclasses.replace(second, accepted=accepted),
+    )
+    day = dataclasses.replace(day, workers=day.workers[:1], slowdowns={}, jobs=jobs)
+    context.driver = DayDriver(day, PLANNERS.find("engine"))
+    context.outcome = context.driver.run()
+
+
+@then("the other one has ended by 13 s, and only its worth counts")
+def check_cancelled(context):
+    other = context.driver.job_outcomes["0" * 16]
+    assert other.ended_at is not None, other
+    assert other.ended_at < 13.0, other
+    assert context.outcome.full_worth == other.full_worth, context.outcome
+    assert context.outcome.lost_core_s == 0, context.outcome
+
+
 @when('"{arguments}" is run')
 def run_command(context, arguments):
     script = (
@@ -122,6 +197,14 @@
     assert len(row) == 2 + count, row
 
 
+@then("it prints JSON with the same columns, and the share of each seed")
+def check_json(context):
+    assert context.command.returncode == 0, context.command.stderr
+    row = json.loads(context.command.stdout)
+    assert len(row) == 2 + 17 + 1, row
+    assert row["earned by seed"] == [row["earned"]], row
+
+
 @then('it fails and names "{wrong}" and "{right}"')
 def check_failure(context, wrong, right):
     result = context.command
--- a/src/firladder/_internal/commands/evaluate_days.py
+++ b/src/firladder/_internal/commands/evaluate_days.py
@@ -6,8 +6,13 @@
 from ..cli.exit_codes import EXIT_OK
 from ..evaluation.day_loads import DAYS
 from ..evaluation.day_policies import PLANNERS
-from ..evaluation.day_report import format_header, format_row, simulate_days
-from ..utils.settings import ResolvedSetting, Setting, check_text
+from ..evaluation.day_report import (
+    format_header,
+    format_json,
+    format_row,
+    simulate_days,
+)
+from ..utils.settings import ResolvedSetting, Setting, check_choice, check_text
 from .evaluate import check_names, read_numbers
 from .registry import Command
 
@@ -20,6 +25,7 @@
         Setting("days", check_text, "days to play, or all", "small_pool"),
         Setting("planners", check_text, "planners to compare, or all", "all"),
         Setting("day_seeds", check_text, "seeds, separated by commas", "1,2,3"),
+        Setting("format", check_choice("text", "json"), "form of the output", "text"),
     )
 
     def run(
@@ -30,11 +36,13 @@
         known = PLANNERS.list_names()
         planners = _choose("planners", settings["planners"].value, known)
         seeds = read_numbers("day_seeds", settings["day_seeds"].value)
-        sys.stdout.write(format_header())
+        as_json = settings["format"].value == "json"
+        sys.stdout.write("" if as_json else format_header())
+        format_outcomes = format_json if as_json else format_row
         for day in days:
             for planner in planners:
-                row = format_row(day, planner, simulate_days(day, planner, seeds))
-                sys.stdout.write(row)
+                outcomes = simulate_days(day, planner, seeds)
+                sys.stdout.write(format_outcomes(day, planner, outcomes))
                 sys.stdout.flush()
         return EXIT_OK
 
--- a/src/firladder/_internal/evaluation/day_driver.py
+++ b/src/firladder/_internal/evaluation/day_driver.py
@@ -6,20 +6,20 @@
 """
 
 import dataclasses
-import heapq
-import itertools
-import random
-import statistics
-from collections import defaultdict
-from collections.abc import Callable, Mapping
+import functools
+from collections.abc import Callable
 
 from ..engine import leases
 from ..engine.core import Core
 from ..engine.planning import Planner
-from ..engine.preemption import ACCELERATOR_CORES
-from ..engine.state import JobState, Phase, Placement, Unit
-from ..models.order import EndedTask, Ending, RunningTask, TaskId, WorkerReport
-from .day_loads import DAY_S, INITIAL_JOBS_AT_S, Day, DayJob
+from ..engine.state import JobState, Phase, Placement
+from ..models.order import WorkerReport
+from .day_events import EventQueue
+from .day_faults import draw_retry_s
+from .day_jobs import DAY_S, INITIAL_JOBS_AT_S, Day, DayJob, Departure, KnowsDay
+from .day_outcomes import DayOutcome, JobOutcome, summarize
+from .day_records import DayRecords
+from .day_workers import SimulatedWorkers
 
 LEASE_S = 6.0
 
@@ -43,357 +43,271 @@
 TAIL_S = 60.0
 """Seconds for which the simulation goes on after the end of the arrivals."""
 
-CROSS_RACK_SLOWDOWN = 3.0
-"""Factor on the run time of a gang that requests one rack and runs on several."""
-
-MAX_LATENESS_FACTOR = 3.0
-"""A late job has some worth up to this many times its objective."""
-
-WINDOW_S = 2.0
-WORST_WINDOW_COUNT = 2
-"""Arrivals are grouped by windows of ``WINDOW_S``; the worst few are averaged."""
-
 START_AT_S = 100.0
 """The core's clock at the start of the day; the core needs a time above zero."""
 
 
-@dataclasses.dataclass(slots=True)
-class JobOutcome:
-    """The outcome of a job; all times in seconds.
-
-    ``first_started_at`` is when the last of its units started for the first time,
-    ``last_started_at`` when a unit last started, and ``cross_rack_s`` the time that
-    this run takes longer because it spans several racks.
-    """
-
-    job: DayJob
-    first_started_at: float | None = None
-    last_started_at: float = 0.0
-    ended_at: float | None = None
-    cross_rack_s: float = 0.0
-
-    @property
-    def took_s(self) -> float:
-        """Return the time from arrival to end."""
-        if self.ended_at is None:
-            return float("inf")
-        return self.ended_at - self.job.accepted.accepted_at_s
-
-    @property
-    def earned(self) -> float:
-        """Return the job's worth to its caller, given when it ended."""
-        if self.took_s <= self.job.objective_s:
-            return self.full_worth
-        if self.took_s <= MAX_LATENESS_FACTOR * self.job.objective_s:
-            return self.job.kind.late_worth * self.job.weight
-        return 0.0
-
-    @property
-    def full_worth(self) -> float:
-        """Return the worth of the job if it ends in time."""
-        return self.job.kind.worth * self.job.weight
-
-    def find_main_delay(self) -> str:
-        """Return the main cause of the job's delay."""
-        if self.first_started_at is None:
-            return "never started"
-        delays = {
-            "waited for capacity": self.first_started_at
-            - self.job.accepted.accepted_at_s,
-            "preempted or lost": self.last_started_at - self.first_started_at,
-            "spread over racks": self.cross_rack_s,
-        }
-        return max(delays, key=lambda name: delays[name])
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DayOutcome:
-    """The outcome of a day: worth earned, and worth missed by cause.
-
-    ``by_kind`` is the share of the full worth that each kind earned. ``lost_core_s``
-    is discarded work in core-seconds; an accelerator counts as eight cores.
-    ``worst_window_share`` is the share earned by the arrivals of the worst windows.
-    """
-
-    earned: float
-    full_worth: float
-    by_kind: dict[str, float]
-    missed_by: dict[str, float]
-    lost_core_s: float
-    preemptions: int
-    worst_window_share: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Run:
-    """A run of a unit; ``progress_s`` is the work that earlier runs saved.
-
-    ``slowdown`` is the run's time over that of the same work on usual workers. Members
-    that are done before ``duration_s`` wait for the others.
-    """
-
-    started_at: float
-    duration_s: float
-    slowdown: float
-    progress_s: float
-    member_durations_s: Mapping[int, float]
-
-
 class DayDriver:
     """Simulates one day under one planner."""
 
     def __init__(self, day: Day, planner: type[Planner]) -> None:
-        """Register all workers, idle, and schedule arrivals and losses."""
-        self.now = START_AT_S + INITIAL_JOBS_AT_S
-        self.core = Core(lease_s=LEASE_S, note=self._count_preemption)
-        self.core.configuration = day.configuration
-        self.planner = planner(
-            self.core, reclaim_s=RECLAIM_S, restart_s=STOP_DELAY_S + RESTORE_S
-        )
-        self._slowdowns = day.slowdowns
-        self._rng = random.Random(len(day.jobs))
+        """Register all workers, idle, and schedule arrivals and faults."""
+        self._events = EventQueue(START_AT_S + INITIAL_JOBS_AT_S)
+        self._day = day
+        self._make_planner = planner
         self.job_outcomes = {j.accepted.job_id: JobOutcome(j) for j in day.jobs}
-        self.lost_core_s = 0.0
         self.preemptions = 0
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._sequence = itertools.count()
-        self._end_numbers: defaultdict[str, itertools.count[int]] = defaultdict(
-            lambda: itertools.count(1)
+        self.workers = SimulatedWorkers(
+            day,
+            self._events,
+            start_at=START_AT_S,
+            job_outcomes=self.job_outcomes,
+            on_end=self._report,
+            on_change=self._schedule_pass,
         )
-        self._running: defaultdict[str, dict[tuple[TaskId, int], Placement]]
-        self._running = defaultdict(dict)
-        self._started: set[int] = set()
-        self._progress_s: dict[int, float] = {}
-        self._runs: dict[tuple[int, int], _Run] = {}
+        self._open = set(self.job_outcomes)
+        self._cancelled: set[str] = set()
+        self._records = DayRecords(keeps_progress=bool(day.takeovers))
+        self._has_faults = bool(day.spells or day.departures or day.takeovers)
+        self._store_back_at: float | None = None
+        self._has_leader = True
+        self._term = 0
         self._pass_due = False
-        for entry in day.workers:
-            self.core.register_worker(entry, now=self.now)
-            self._report(entry.worker_id)
+        self._lead()
+        for worker_id in self.workers.entries:
+            self._report(worker_id)
+        self._schedule_day(day)
+
+    def _schedule_day(self, day: Day) -> None:
         for job in day.jobs:
-            self._schedule(
-                START_AT_S + job.accepted.accepted_at_s, self._make_arrival(job)
-            )
-        for at, worker_id in day.lost:
-            self._schedule(START_AT_S + at, self._make_loss(worker_id))
-        self._schedule(self.now, self._poll_workers)
+            self._schedule_at(job.accepted.accepted_at_s, self._submit, job, 0)
+            if job.cancelled_at_s is not None:
+                self._schedule_at(job.cancelled_at_s, self._cancel, job)
+        for at_s, worker_id in day.lost:
+            self._schedule_at(at_s, self._lose_worker, worker_id)
+        for departure in day.departures:
+            self._schedule_at(departure.at_s, self._drain_worker, departure)
+            left_at_s = departure.at_s + departure.notice_s
+            self._schedule_at(left_at_s, self._lose_worker, departure.worker_id)
+        for from_s, until_s in day.outages:
+            self._schedule_at(from_s, self._begin_outage, START_AT_S + until_s)
+            self._schedule_at(until_s, self._end_outage)
+        for from_s, until_s in day.takeovers:
+            self._schedule_at(from_s, self._lose_leader)
+            self._schedule_at(until_s, self._take_over)
+        self._events.schedule(self._now, self._poll_workers)
+
+    def _schedule_at(
+        self, at_s: float, action: Callable[..., None], *arguments: object
+    ) -> None:
+        """Schedule an action at a time of the day."""
+        self._events.schedule(START_AT_S + at_s, functools.partial(action, *arguments))
+
+    @property
+    def _now(self) -> float:
+        return self._events.now
 
     def run(self) -> DayOutcome:
         """Simulate the day to its end."""
         end = START_AT_S + DAY_S + TAIL_S
-        while self._events and self._events[0][0] <= end:
-            self.now, _, action = heapq.heappop(self._events)
-            action()
-            if all(a.ended_at is not None for a in self.job_outcomes.values()):
-                break
-        return self._summarize()
+        self._events.run(until=end, is_over=lambda: not self._open)
+        for job_id, outcome in self.job_outcomes.items():
+            job = self.core.jobs.get(job_id)
+            outcome.gave_up = job is not None and job.state is JobState.FAILED
+        return summarize(
+            self.job_outcomes.values(),
+            lost_core_s=self.workers.lost_core_s,
+            preemptions=self.preemptions,
+        )
 
-    def _schedule(self, when: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._events, (when, next(self._sequence), action))
+    def _lead(self) -> None:
+        """Start the term of a leader that knows the workers and nothing else."""
+        self.core = Core(lease_s=LEASE_S, note=self._count_preemption)
+        self.core.configuration = self._day.configuration
+        self.planner = self._make_planner(
+            self.core, reclaim_s=RECLAIM_S, restart_s=STOP_DELAY_S + RESTORE_S
+        )
+        if isinstance(self.planner, KnowsDay):
+            self.planner.know_day(self._day)
+        for entry in self.workers.entries.values():
+            self.core.register_worker(entry, now=self._now)
 
     def _count_preemption(self, what: str, **inputs: object) -> None:
         self.preemptions += what == "room made"
 
-    def _make_arrival(self, job: DayJob) -> Callable[[], None]:
-        def arrive() -> None:
-            accepted = job.accepted
-            at = START_AT_S + accepted.accepted_at_s
-            self.core.add_job(dataclasses.replace(accepted, accepted_at_s=at), None)
-            self._schedule_pass()
-
-        return arrive
+    # -- callers -------------------------------------------------------------------
 
-    def _make_loss(self, worker_id: str) -> Callable[[], None]:
-        def lose() -> None:
-            for placement in self._running.pop(worker_id, {}).values():
-                self._record_lost_work(placement)
-            self.core.lose_worker(worker_id, "gone", now=self.now)
+    def _submit(self, job: DayJob, retries: int) -> None:
+        accepted, outcome = job.accepted, self.job_outcomes[job.accepted.job_id]
+        if accepted.job_id in self._cancelled:
+            return
+        if self._store_back_at is not None:
+            after_s = draw_retry_s(self._day, accepted.job_id, retries)
+            if after_s is None:
+                self._open.discard(accepted.job_id)
+                return
+            again = functools.partial(self._submit, job, retries + 1)
+            self._events.schedule(self._now + after_s, again)
+            return
+        outcome.accepted_at = accepted.accepted_at_s
+        if retries:
+            outcome.accepted_at = self._now - START_AT_S
+        accepted = dataclasses.replace(
+            accepted, accepted_at_s=START_AT_S + outcome.accepted_at
+        )
+        self._records.add(accepted)
+        if self._has_leader:
+            self.core.add_job(accepted, None)
             self._schedule_pass()
 
-        return lose
+    def _cancel(self, job: DayJob) -> None:
+        if self._store_back_at is not None:
+            again = functools.partial(self._cancel, job)
+            self._events.schedule(self._store_back_at, again)
+            return
+        job_id = job.accepted.job_id
+        self._cancelled.add(job_id)
+        if self._has_leader:
+            self.core.cancel_job(job_id)
+            self._schedule_pass()
 
-    def _poll_workers(self) -> None:
-        for worker_id in list(self.core.workers):
-            self._report(worker_id)
-        self._schedule_pass()
-        self._schedule(self.now + REPORT_INTERVAL_S, self._poll_workers)
+    # -- faults --------------------------------------------------------------------
 
-    def _schedule_pass(self) -> None:
-        if not self._pass_due:
-            self._pass_due = True
-            self._schedule(self.now + PASS_DELAY_S, self._plan)
+    def _lose_worker(self, worker_id: str) -> None:
+        if worker_id not in self.workers.entries:
+            return
+        self.workers.lose(worker_id)
+        if self._has_leader:
+            self.core.lose_worker(worker_id, "gone", now=self._now)
+            self._schedule_pass()
 
-    def _plan(self) -> None:
-        self._pass_due = False
-        self.planner.run_pass(now=self.now, wall=self.now)
-        for job_id, job in list(self.core.dirty.items()):
-            self.core.mark_durable(job_id, job.version)
-        for placement in self.core.take_starts():
-            self._schedule(self.now + START_DELAY_S, self._make_start(placement))
-        for placement in self.core.take_stops(self.now):
-            self._schedule(self.now + STOP_DELAY_S, self._make_stop(placement))
-
-    def _make_start(self, placement: Placement) -> Callable[[], None]:
-        def start() -> None:
-            worker = self.core.workers.get(placement.worker_id)
-            if worker is None or placement.phase is not Phase.SENT:
-                return
-            self._running[placement.worker_id][placement.key] = placement
-            self.core.handle_start_answer(placement, self.now, self.now)
-            unit = placement.unit
-            if unit is not None and unit.all_active:
-                self._start_unit(unit)
-
-        return start
-
-    def _start_unit(self, unit: Unit) -> None:
-        outcome = self.job_outcomes[unit.job.accepted.job_id]
-        at = self.now - START_AT_S
-        if id(unit) not in self._started:
-            self._started.add(id(unit))
-            outcome.first_started_at = at
-        outcome.last_started_at = at
-        racks = {self.core.workers[p.worker_id].rack for p in unit.placements.values()}
-        progress_s = self._progress_s.get(id(unit), 0.0)
-        remaining_s = outcome.job.run_duration_s - progress_s
-        crosses_racks = unit.step.one_rack and len(unit.indices) > 1 and len(racks) > 1
-        rack_factor = CROSS_RACK_SLOWDOWN if crosses_racks else 1.0
-        durations_s = {
-            index: remaining_s
-            * outcome.job.find_task_factor(index)
-            * self._slowdowns.get(placement.worker_id, 1)
-            * rack_factor
-            for index, placement in unit.placements.items()
-        }
-        duration_s = max(durations_s.values())
-        outcome.cross_rack_s = duration_s * (1 - 1 / rack_factor)
-        run = _Run(
-            self.now, duration_s, duration_s / remaining_s, progress_s, durations_s
+    def _drain_worker(self, departure: Departure) -> None:
+        entry = self.workers.entries.get(departure.worker_id)
+        if entry is None:
+            return
+        entry = dataclasses.replace(
+            entry, draining=True, leaves_in_s=departure.notice_s
         )
-        self._runs[id(unit), unit.run] = run
-        failed_share = outcome.job.kind.failed_share
-        if failed_share and self._rng.random() < failed_share:
-            fails_at = self.now + duration_s * self._rng.random()
-            self._schedule(fails_at, self._make_failure(unit, unit.run))
-        else:
-            self._schedule(self.now + duration_s, self._make_finish(unit, unit.run))
-
-    def _make_failure(self, unit: Unit, run: int) -> Callable[[], None]:
-        def fail() -> None:
-            if unit.run != run or not unit.all_active:
-                return
-            placements = list(unit.placements.values())
-            failing = self._rng.choice(placements)
-            for placement in placements:
-                self._record_lost_work(placement)
-            for placement in placements:
-                how: Ending = "failed" if placement is failing else "broken"
-                self._end_task(placement, how)
+        self.workers.entries[departure.worker_id] = entry
+        if self._has_leader:
+            self.core.register_worker(entry, now=self._now)
             self._schedule_pass()
 
-        return fail
+    def _begin_outage(self, back_at: float) -> None:
+        self._store_back_at = back_at
 
-    def _make_finish(self, unit: Unit, run: int) -> Callable[[], None]:
-        def finish() -> None:
-            if unit.run != run or not unit.all_active:
-                return
-            for placement in list(unit.placements.values()):
-                self._end_task(placement, "done")
-            self._schedule_pass()
+    def _end_outage(self) -> None:
+        self._store_back_at = None
+        self._schedule_pass()
 
-        return finish
+    def _lose_leader(self) -> None:
+        """Lose the leader, with the orders that it has not sent."""
+        self._has_leader = False
+        self._term += 1
+
+    def _take_over(self) -> None:
+        """Lead by the records, while the workers have gone on."""
+        former, self._has_leader = self.core, True
+        self._lead()
+        self._records.restore(self.core, former, self._cancelled, now=self._now)
+        self.workers.follow_leader(self.core.jobs)
+        for worker_id in self.workers.entries:
+            self._report(worker_id)
+        for worker_id in set(self.core.workers).difference(self.workers.entries):
+            self.core.lose_worker(worker_id, "gone", now=self._now)
+        self._schedule_pass()
 
-    def _make_stop(self, placement: Placement) -> Callable[[], None]:
-        def stop() -> None:
-            if placement.key in self._running[placement.worker_id]:
-                self._record_lost_work(placement)
-                self._end_task(placement, "stopped")
-            else:
-                self.core.handle_stop_answer(placement, self.now, self.now)
-                self._report(placement.worker_id)
+    # -- the leader ----------------------------------------------------------------
+
+    def _poll_workers(self) -> None:
+        if self._has_leader:
+            for worker_id, worker in list(self.core.workers.items()):
+                # An idle worker reports nothing new.
+                if worker.placements or not self.workers.is_unused(worker_id):
+                    self._report(worker_id)
+            if self._has_faults:
+                self._handle_faults()
             self._schedule_pass()
+            self._drop_given_up()
+        self._events.schedule(self._now + REPORT_INTERVAL_S, self._poll_workers)
 
-        return stop
+    def _handle_faults(self) -> None:
+        self.core.expire_runs(self._now)
+        self.core.abort_late_gangs(self._now)
+        self.core.abort_stalled_runs(self._now)
+        self.planner.move_off_draining(self._now)
 
-    def _record_lost_work(self, placement: Placement) -> None:
-        unit = placement.unit
-        if unit is None:
+    def _drop_given_up(self) -> None:
+        """Await no more jobs that were given up, once no task of theirs is left."""
+        if self.workers.is_idle:
+            jobs = self.core.jobs
+            self._open -= {i for i in self._open if i in jobs and jobs[i].terminal}
+
+    def _schedule_pass(self) -> None:
+        if not self._pass_due:
+            self._pass_due = True
+            self._events.schedule(self._now + PASS_DELAY_S, self._plan)
+
+    def _plan(self) -> None:
+        self._pass_due = False
+        if not self._has_leader:
             return
-        run = self._runs.get((id(unit), placement.run))
-        if run is None:
+        self.planner.run_pass(now=self._now, wall=self._now)
+        if self._store_back_at is None:
+            self._records.write(self.core)
+        for placement in self.core.take_starts():
+            start = functools.partial(self._start, placement, self._term)
+            self._events.schedule(self._now + START_DELAY_S, start)
+        for placement in self.core.take_stops(self._now):
+            stop = functools.partial(self._stop, placement, self._term)
+            self._events.schedule(self._now + STOP_DELAY_S, stop)
+
+    def _start(self, placement: Placement, term: int) -> None:
+        worker = self.core.workers.get(placement.worker_id)
+        if term != self._term or worker is None or placement.phase is not Phase.SENT:
             return
-        elapsed_s = self.now - run.started_at
-        if unit.step.checkpoints:
-            self._progress_s[id(unit)] = run.progress_s + elapsed_s / run.slowdown
+        self.workers.start_task(placement)
+        self.core.handle_start_answer(placement, self._now, self._now)
+        unit = placement.unit
+        if unit is not None and unit.all_active:
+            self.workers.start_run(unit)
+
+    def _stop(self, placement: Placement, term: int) -> None:
+        if term != self._term:
             return
-        need = placement.need
-        cores = need.cpu_milli / 1000 + need.accelerators * ACCELERATOR_CORES
-        self.lost_core_s += cores * elapsed_s
-
-    def _end_task(self, placement: Placement, how: Ending) -> None:
-        worker_id = placement.worker_id
-        self._running[worker_id].pop(placement.key, None)
-        number = next(self._end_numbers[worker_id])
-        end = EndedTask(number, placement.task, placement.run, how, "")
-        self._report(worker_id, (end,))
-        outcome = self.job_outcomes[placement.task.job_id]
-        job = self.core.jobs[placement.task.job_id]
-        if job.state is JobState.COMPLETED and outcome.ended_at is None:
-            outcome.ended_at = self.now - START_AT_S
-
-    def _report(self, worker_id: str, ended: tuple[EndedTask, ...] = ()) -> None:
+        worker_id, key = placement.worker_id, placement.key
+        if self.workers.runs_task(worker_id, key):
+            self.workers.stop_task(worker_id, key)
+        else:
+            self.core.handle_stop_answer(placement, self._now, self._now)
+            self._report(worker_id)
+        self._schedule_pass()
+
+    def _report(self, worker_id: str) -> None:
         worker = self.core.workers.get(worker_id)
-        if worker is None:
+        if worker is None or not self._has_leader:
             return
-        grant = leases.record_grant_sent(worker, now=self.now, lease_s=LEASE_S)
+        number = worker.find_last_durable_end()
+        worker.drop_acknowledged_ends(number)
+        self.workers.drop_ends(worker_id, number)
+        grant = leases.record_grant_sent(worker, now=self._now, lease_s=LEASE_S)
         leases.record_grant_answered(
-            worker, grant, sent_at=self.now, now=self.now, lease_s=LEASE_S
-        )
-        rows = tuple(
-            RunningTask(p.task, p.run, "", self._compute_percent(p))
-            for p in self._running[worker_id].values()
+            worker, grant, sent_at=self._now, now=self._now, lease_s=LEASE_S
         )
-        report = WorkerReport(self.now, rows, ended)
-        self.core.handle_report(worker, report, sent_at=self.now, now=self.now)
-
-    def _compute_percent(self, placement: Placement) -> int:
-        run = self._runs.get((id(placement.unit), placement.run))
-        if run is None:
-            return 0
-        elapsed_s = self.now - run.started_at
-        if elapsed_s >= run.duration_s:
-            return 99
-        duration_s = run.member_durations_s.get(placement.task.index, run.duration_s)
-        return min(100, int(100 * elapsed_s / duration_s))
-
-    def _summarize(self) -> DayOutcome:
-        full_worth: defaultdict[str, float] = defaultdict(float)
-        earned: defaultdict[str, float] = defaultdict(float)
-        missed: defaultdict[str, float] = defaultdict(float)
-        for outcome in self.job_outcomes.values():
-            kind = outcome.job.kind
-            full_worth[kind.name] += outcome.full_worth
-            earned[kind.name] += outcome.earned
-            if outcome.earned < outcome.full_worth:
-                missed[outcome.find_main_delay()] += outcome.full_worth - outcome.earned
-        return DayOutcome(
-            sum(earned.values()),
-            sum(full_worth.values()),
-            {name: earned[name] / full_worth[name] for name in full_worth},
-            dict(missed),
-            self.lost_core_s,
-            self.preemptions,
-            self._compute_worst_window_share(),
-        )
-
-    def _compute_worst_window_share(self) -> float:
-        """Return the mean share of worth that the worst windows earned."""
-        windows: defaultdict[int, list[JobOutcome]] = defaultdict(list)
-        for outcome in self.job_outcomes.values():
-            at = outcome.job.accepted.accepted_at_s
-            if at >= 0:
-                windows[int(at / WINDOW_S)].append(outcome)
-        shares = sorted(
-            sum(a.earned for a in rows) / sum(a.full_worth for a in rows)
-            for rows in windows.values()
-        )
-        return statistics.mean(shares[:WORST_WINDOW_COUNT]) if shares else 1.0
+        running = self.workers.list_running(worker_id)
+        ends = self.workers.list_ends(worker_id)
+        report = WorkerReport(self._now, running, ends)
+        self.core.handle_report(worker, report, sent_at=self._now, now=self._now)
+        for end in ends:
+            self._note_completed(end.task.job_id)
+
+    def _note_completed(self, job_id: str) -> None:
+        """Note when callers are shown that a job has completed."""
+        outcome, job = self.job_outcomes[job_id], self.core.jobs.get(job_id)
+        if job is None or job.state is not JobState.COMPLETED:
+            return
+        if outcome.ended_at is None:
+            shown_at = max(self._now, self._store_back_at or 0.0)
+            outcome.shown_late_s = shown_at - self._now
+            outcome.ended_at = shown_at - START_AT_S
+            self._open.discard(job_id)
