--- a/src/firladder/_internal/evaluation/day_kinds.py
+++ b/src/firladder/_internal/evaluation/day_kinds.py
@@ -224,3 +224,52 @@
     weight_by_work=True,
     has_addresses=True,
 )
+
+VARIED_URGENT = dataclasses.replace(
+    URGENT,
+    arrivals_per_s=3.58,
+    mean_tasks=5.0,
+    max_tasks=32,
+    unevenness=0.3,
+    declared_error=0.9,
+    failed_share=0.05,
+)
+VARIED_HEAVY = dataclasses.replace(
+    HEAVY,
+    arrivals_per_s=0.838,
+    mean_tasks=13.0,
+    max_tasks=78,
+    run_duration_s=8.5,
+    late_worth=0.3,
+    initial_jobs=16,
+    unevenness=0.15,
+    declared_error=0.5,
+    failed_share=0.05,
+)
+VARIED_SMALL = dataclasses.replace(
+    SMALL,
+    arrivals_per_s=0.825,
+    mean_tasks=39.0,
+    max_tasks=230,
+    late_worth=0.1,
+    initial_jobs=20,
+    unevenness=0.3,
+    declared_error=0.2,
+    failed_share=0.05,
+    tail_share=0.03,
+    second_step_share=0.3,
+)
+
+VARIED_POOL = Deployment(
+    kinds=(VARIED_URGENT, VARIED_HEAVY, VARIED_SMALL),
+    workers=176,
+    workers_per_rack=8,
+    capacity=Resources(64_000, 262_144, 8),
+    organisations=10,
+    slowdowns=(1.0, 1.0, 1.3),
+    weight_by_work=True,
+    has_addresses=True,
+    # Three of the ten have half of the load.
+    organisation_weights=(7.0,) * 3 + (3.0,) * 7,
+    rate_swing=0.55,
+)
--- a/src/firladder/_internal/evaluation/day_loads.py
+++ b/src/firladder/_internal/evaluation/day_loads.py
@@ -19,7 +19,7 @@
     apply_faults,
 )
 from .day_jobs import Day, make_day
-from .day_kinds import NARROW_RACKS, UNEVEN_POOL, WIDE_RACKS, Deployment
+from .day_kinds import NARROW_RACKS, UNEVEN_POOL, VARIED_POOL, WIDE_RACKS, Deployment
 
 DAYS: Registry[Callable[[int], Day]] = Registry("day")
 """Functions by name that make a day from a seed."""
@@ -76,12 +76,33 @@
     return make_day(seed, UNEVEN_POOL, burst_factor=1.0, initial_share=0.5)
 
 
+@DAYS.register("small_uneven")
+def make_small_uneven(seed: int) -> Day:
+    """Return a day on four racks of the same pool."""
+    deployment = dataclasses.replace(UNEVEN_POOL, workers=80)
+    return make_day(
+        seed, deployment, rate_factor=0.45, burst_factor=1.0, initial_share=0.23
+    )
+
+
 @DAYS.register("uneven_burst")
 def make_uneven_burst(seed: int) -> Day:
     """Return a day on the same pool, full, that begins with a burst of urgent work."""
     return make_day(seed, UNEVEN_POOL, rate_factor=1.5, burst_factor=2.2)
 
 
+@DAYS.register("varied")
+def make_varied(seed: int) -> Day:
+    """Return a day with varying rates, on small racks of which a third are slow."""
+    return make_day(seed, VARIED_POOL, burst_factor=1.0, initial_share=0.5)
+
+
+@DAYS.register("varied_burst")
+def make_varied_burst(seed: int) -> Day:
+    """Return a day on the same pool, full, that begins with a burst of urgent work."""
+    return make_day(seed, VARIED_POOL, burst_factor=2.2)
+
+
 FAULTS: dict[str, tuple[Fault, ...]] = {
     "slowed": (Slowdown(8.0),),
     "failing": (FailingWorkers(8.0),),
@@ -119,3 +140,4 @@
 
 
 _register_faults("uneven", UNEVEN_POOL)
+_register_faults("varied", VARIED_POOL)
