--- a/features/engine_days.feature
+++ b/features/engine_days.feature
@@ -48,6 +48,31 @@
     When a job of 10 s on one worker is cancelled at 2 s, with another behind it
     Then the other one has ended by 13 s, and only its worth counts
 
+  Scenario: Arrivals and organisations of the second deployment are as uneven as there
+    A day of constant rates and equal organisations is never short for a moment, nor for
+    one organisation, so that it cannot show who bears a shortage.
+    When the day "varied" is drawn with seeds 1 to 20
+    Then its busiest seconds of 13 have at least 2 times the arrivals of its quietest
+    And its three largest organisations have 0.45 to 0.6 of the jobs
+    And 0.2 to 0.4 of its small jobs have a second step
+
+  Scenario Outline: Simulated days rank known pairs of planners as whole days do
+    Days decide which of two planners is better before whole days are played. They would
+    mislead if they did not show what whole days have shown.
+    When the day "<day>" is played with seeds 1, 2 and 3 by "<better>" and "engine"
+    Then "<better>" earns at least <factor> times what "engine" earns
+    And its worst windows earn at least <windows> more than those of "engine"
+
+    Examples:
+      | day          | better                  | factor | windows |
+      | small_uneven | known_speeds_slow_first | 1.05   | 0.03    |
+      | small_uneven | wide_speeds_slow_first  | 1.03   | 0.0     |
+
+  Scenario: Late work last earns more than the order of arrival under overload
+    When the day "small_overload" is played with seeds 1, 2 and 3 by "engine" and "arrival_order"
+    Then "engine" earns at least 1.02 times what "arrival_order" earns
+    And its worst windows earn at least 0.03 more than those of "arrival_order"
+
   Scenario: Days and planners are named in the command's table
     When "evaluate_days --days=small_pool --planners=first_come --day_seeds=1" is run
     Then it prints a row for "small_pool" and "first_come" with 17 more columns
--- a/features/steps/engine_days_steps.py
+++ b/features/steps/engine_days_steps.py
@@ -1,7 +1,10 @@
 import dataclasses
+import functools
 import json
+import statistics
 import subprocess
 import sys
+from collections import Counter
 
 from behave import given, then, when
 
@@ -26,6 +29,58 @@
     }
 
 
+@functools.cache
+def simulate_once(day, planner, seeds):
+    return simulate_days(day, planner, seeds)
+
+
+@when('the day "{day}" is played with seeds 1, 2 and 3 by "{better}" and "{other}"')
+def play_pair(context, day, better, other):
+    context.pair = (better, other)
+    context.outcomes = {n: simulate_once(day, n, (1, 2, 3)) for n in context.pair}
+
+
+@then('its worst windows earn at least {more:f} more than those of "{other}"')
+def check_windows(context, more, other):
+    better, worse = (
+        statistics.mean(o.worst_window_share for o in context.outcomes[name])
+        for name in context.pair
+    )
+    assert context.pair[1] == other
+    assert better >= worse + more, (better, worse)
+
+
+@when('the day "{name}" is drawn with seeds 1 to 20')
+def draw_days(context, name):
+    context.days = [DAYS.find(name)(seed) for seed in range(1, 21)]
+
+
+def count_jobs(context, find_key):
+    jobs = (job for day in context.days for job in day.jobs)
+    return Counter(find_key(j) for j in jobs if j.accepted.accepted_at_s >= 0)
+
+
+@then("its busiest seconds of 13 have at least 2 times the arrivals of its quietest")
+def check_rates(context):
+    seconds = count_jobs(context, lambda j: int(j.accepted.accepted_at_s) % 13)
+    assert len(seconds) == 13, seconds
+    assert max(seconds.values()) >= 2 * min(seconds.values()), seconds
+
+
+@then("its three largest organisations have {least:f} to {most:f} of the jobs")
+def check_organisations(context, least, most):
+    counts = count_jobs(context, lambda j: j.accepted.organisation)
+    largest = sum(count for _, count in counts.most_common(3))
+    assert least <= largest / counts.total() <= most, counts
+
+
+@then("{least:f} to {most:f} of its small jobs have a second step")
+def check_second_steps(context, least, most):
+    kinds = count_jobs(context, lambda j: (j.kind.name, len(j.accepted.workload.steps)))
+    share = kinds["small", 2] / (kinds["small", 1] + kinds["small", 2])
+    assert least <= share <= most, kinds
+
+
 @then('"{name}" serves at least {share:f} of the urgent work\'s worth')
 def check_urgent(context, name, share):
     found = [o.by_kind["urgent"] for o in context.outcomes[name]]
--- a/src/firladder/_internal/evaluation/day_report.py
+++ b/src/firladder/_internal/evaluation/day_report.py
@@ -4,6 +4,7 @@
 import statistics
 from collections.abc import Callable, Iterator, Sequence
 
+from . import known_pairs  # noqa: F401
 from .day_driver import DayDriver
 from .day_loads import DAYS
 from .day_outcomes import DayOutcome
