--- a/src/firladder/_internal/evaluation/known_pairs.py
+++ b/src/firladder/_internal/evaluation/known_pairs.py
@@ -1,4 +1,4 @@
-"""Pairs of planners of which whole days have shown which one is better.
+"""Planners that whole days, or earlier offline runs, have compared with the engine's.
 
 Simulated days decide between ways of planning only if they rank these as whole days do.
 Each planner differs from the engine's in one decision.
