--- a/features/engine_advice.feature
+++ b/features/engine_advice.feature
@@ -146,6 +146,20 @@
     When the service is asked and allows w1 and w3 only
     Then only the work on w1 and w3 is preempted
 
+  Scenario: Tickets that end while room is made are renewed before the start
+    Guards against work that is preempted for starts that the workers then reject, and
+    against preempting again elsewhere.
+    Given 4 workers, and all queues with advice
+    And all workers are full of other work
+    When an urgent advised gang of 2 is submitted
+    And the service is asked and allows w1 and w3 only
+    And room is made for it 9.4 s later, and its tickets end before the stops
+    Then no advised task is planned
+    And the next request names 2 workers for it, first of all
+    When the service allows both, and the stops are proved
+    Then all advised tasks are planned
+    And only two runs were stopped
+
   Scenario: A step whose tasks exclude each other on a worker asks for more workers
     Guards against a step that waits for ever, since the worker that it may use has room.
     Given 4 workers, and a queue with advice
--- a/features/node_advice.feature
+++ b/features/node_advice.feature
@@ -78,6 +78,8 @@
       | {"decision_ms": 20, "per_worker_ms": 0.5, "valid_ms": 4000} | 20, 0.5, 4000   |
       | {"decision_ms": 20, "valid_ms": "soon"}                     | 20, 10, 2000    |
       | {"decision_ms": -1, "per_worker_ms": true, "valid_ms": 0}   | 100, 10, 2000   |
+      | false                                                       | no advice       |
+      | {}                                                          | 100, 10, 2000   |
       | true                                                        | 100, 10, 2000   |
       | [1, 2]                                                      | 100, 10, 2000   |
 
--- a/src/firladder/_internal/platform/configuration.py
+++ b/src/firladder/_internal/platform/configuration.py
@@ -101,7 +101,7 @@
     A value that cannot be read still means that there is a policy: starts without a
     ticket would all be rejected.
     """
-    if not wire:
+    if not wire and wire != {}:
         return None
     found = wire if isinstance(wire, dict) else {}
     times = {name: _read_time(found.get(name)) for name in DEFAULT_ADVICE}
