Play random events against queues with advice

Tickets expire, are rejected or lost, workers are replaced, leaders are lost and the configuration changes meanwhile. Each start must carry a valid ticket, and what may run must end.

--- a/features/engine_advice.feature
+++ b/features/engine_advice.feature
@@ -174,3 +174,16 @@
     And a new leader takes over that knows no ticket
     Then no advised task is planned
     And the next request names 2 workers for it
+
+  Scenario Outline: Random events break no rule of tickets and leave nothing behind
+    Orders and answers are lost or late, workers are replaced, leaders are lost, tickets
+    expire and are rejected, and queues gain and lose their advice. Guards against starts
+    without a valid ticket, and against jobs that wait for ever although they may run.
+    When <events> random events reach an engine whose queues have advice, seed <seed>
+    Then each start had a valid ticket, and what may run has ended
+
+    Examples:
+      | events | seed |
+      | 3000   | 0    |
+      | 3000   | 6    |
+      | 3000   | 8    |
--- a/features/steps/engine_advice_steps.py
+++ b/features/steps/engine_advice_steps.py
@@ -1,7 +1,9 @@
 import dataclasses
+import random
 
 from behave import given, then, when
 
+from features.support.advised_chaos import AdvisedChaos
 from features.support.engine_world import QUEUES, EngineWorld, make_job, make_step
 from firladder._internal.engine.advice_requests import AdviceRequests
 from firladder._internal.engine.state import Phase, UnitState
@@ -430,3 +432,20 @@
     context.world.succeed()
     for worker in context.world.core.workers.values():
         context.world.claim(worker)
+
+
+@when(
+    "{events:d} random events reach an engine whose queues have advice, seed {seed:d}"
+)
+def play_advised(context, events, seed):
+    context.chaos = AdvisedChaos(random.Random(seed))
+    context.chaos.play(events)
+    context.chaos.settle(200)
+
+
+@then("each start had a valid ticket, and what may run has ended")
+def check_advised_chaos(context):
+    chaos = context.chaos
+    assert not chaos.problems, chaos.problems[:3]
+    assert not chaos.list_stuck(), chaos.list_stuck()
+    assert chaos.finished > 100 and chaos.asked > 100, (chaos.finished, chaos.asked)
