--- a/features/engine_advice.feature
+++ b/features/engine_advice.feature
@@ -146,6 +146,20 @@
     When the service is asked and allows w1 and w3 only
     Then only the work on w1 and w3 is preempted
 
+  Scenario: Tickets that end while room is made are renewed before the start
+    Guards against work that is preempted for starts that the workers then reject, and
+    against preempting again elsewhere.
+    Given 4 workers, and all queues with advice
+    And all workers are full of other work
+    When an urgent advised gang of 2 is submitted
+    And the service allows w1 and w3 only, 9.4 s before the next pass
+    And room is made for it, and its tickets end before the stops
+    Then no advised task is planned
+    And the next request names 2 workers for it
+    When the service is asked and allows w1 and w3 only
+    Then all advised tasks are planned
+    And only two runs were stopped
+
   Scenario: A step whose tasks exclude each other on a worker asks for more workers
     Guards against a step that waits for ever, since the worker that it may use has room.
     Given 4 workers, and a queue with advice
@@ -160,3 +174,16 @@
     And a new leader takes over that knows no ticket
     Then no advised task is planned
     And the next request names 2 workers for it
+
+  Scenario Outline: Random events break no rule of tickets and leave nothing behind
+    Orders and answers are lost or late, workers are replaced, leaders are lost, tickets
+    expire and are rejected, and queues gain and lose their advice. Guards against starts
+    without a valid ticket, and against jobs that wait for ever although they may run.
+    When <events> random events reach an engine whose queues have advice, seed <seed>
+    Then each start had a valid ticket, and what may run has ended
+
+    Examples:
+      | events | seed |
+      | 3000   | 0    |
+      | 3000   | 6    |
+      | 3000   | 8    |
--- a/features/steps/engine_advice_steps.py
+++ b/features/steps/engine_advice_steps.py
@@ -1,7 +1,9 @@
 import dataclasses
+import random
 
 from behave import given, then, when
 
+from features.support.advised_chaos import AdvisedChaos
 from features.support.engine_world import QUEUES, EngineWorld, make_job, make_step
 from firladder._internal.engine.advice_requests import AdviceRequests
 from firladder._internal.engine.state import Phase, UnitState
@@ -401,9 +403,49 @@
     assert stopped == {"w1", "w3"}, stopped
 
 
+@when("the service allows w1 and w3 only, {seconds:f} s before the next pass")
+def allow_early(context, seconds):
+    context.world.answer(context.world.choose(), {"w1", "w3"})
+    context.world.now += seconds
+
+
+@when("room is made for it, and its tickets end before the stops")
+def make_room_late(context):
+    world = context.world
+    world.plan()
+    stopped = list(world.core.stops)
+    assert len(stopped) == 2, stopped
+    world.now += 0.3
+    for placement in stopped:
+        world.end(placement, "stopped")
+
+
+@then("only two runs were stopped")
+def check_stopped_runs(context):
+    full = (j for n, j in context.world.core.jobs.items() if n.startswith("full"))
+    assert sum(not job.units[0].all_active for job in full) == 2
+
+
 @when("a new leader takes over that knows no ticket")
 def take_over(context):
     context.world.make_durable()
     context.world.succeed()
     for worker in context.world.core.workers.values():
         context.world.claim(worker)
+
+
+@when(
+    "{events:d} random events reach an engine whose queues have advice, seed {seed:d}"
+)
+def play_advised(context, events, seed):
+    context.chaos = AdvisedChaos(random.Random(seed))
+    context.chaos.play(events)
+    context.chaos.settle(200)
+
+
+@then("each start had a valid ticket, and what may run has ended")
+def check_advised_chaos(context):
+    chaos = context.chaos
+    assert not chaos.problems, chaos.problems[:3]
+    assert not chaos.list_stuck(), chaos.list_stuck()
+    assert chaos.finished > 100 and chaos.asked > 100, (chaos.finished, chaos.asked)
