Match work to workers of different speed

On a heterogeneous pool urgent work was late on workers that are too slow for it, while lower-priority work held the fast ones. The fit by_slack places urgent work where it ends in time, including the uncertainty of estimates, and work with slack on workers that are too slow for urgent work first, then on unknown ones. A gang's rack is chosen by its slowest member. Room is made on a faster worker, if that loses little, before urgent work starts where it would be late. Other pools are placed by best fit as before.

--- a/src/firladder/_internal/engine/filling.py
+++ b/src/firladder/_internal/engine/filling.py
@@ -1,7 +1,8 @@
 """The order in which single tasks of one step fill the workers within a pass."""
 
+import itertools
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 
 from .placement import Candidate, order_by_fit, takes_another
 from .preferences import Preference
@@ -34,18 +35,34 @@
     ) -> None:
         """Order the workers of ``pool`` for the tasks of the unit's step."""
         self.step_key = name_step(unit)
-        self._left = deque(
-            order_by_fit(
-                unit.step, pool, taken, run_time_s=run_time_s, preference=preference
-            )
+        ordered = order_by_fit(
+            unit.step, pool, taken, run_time_s=run_time_s, preference=preference
         )
+        self._left = deque(_list_turns(ordered, preference))
 
     def choose(
         self, unit: Unit, taken: Mapping[str, int], *, run_time_s: float
     ) -> str | None:
         """Return the worker for the next task, or None."""
         while self._left:
-            if takes_another(unit.step, self._left[0], taken, run_time_s=run_time_s):
-                return self._left[0].worker_id
-            self._left.popleft()
+            candidate, once = self._left[0]
+            fits = takes_another(unit.step, candidate, taken, run_time_s=run_time_s)
+            if once or not fits:
+                self._left.popleft()
+            if fits:
+                return candidate.worker_id
         return None
+
+
+def _list_turns(
+    ordered: Sequence[Candidate], preference: Preference
+) -> Iterator[tuple[Candidate, bool]]:
+    """Yield the workers in order, and whether each takes a single task in this turn.
+
+    Neighbours of which nothing is known get one task each before they are filled.
+    """
+    for explores, group in itertools.groupby(ordered, preference.explores):
+        members = list(group)
+        if explores:
+            yield from ((candidate, True) for candidate in members)
+        yield from ((candidate, False) for candidate in members)
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -13,7 +13,12 @@
 from .isolation import awaits_isolation, is_suspect, list_apart
 from .placement import Candidate, fits_one_rack, place_unit
 from .pool_view import PoolView
-from .reservations import Reservation, Reservations, is_capacity_free
+from .reservations import (
+    Reservation,
+    Reservations,
+    is_capacity_free,
+    reserve_workers,
+)
 from .shortages import ANY_WORKER_S, Demand, Shortages
 from .state import Unit
 from .strategies import StrategyNames, choose_strategies
@@ -153,8 +158,14 @@
         demand = self._limits.describe_demand(
             unit, run_time_s=self._estimates.estimate_run(unit)
         )
+        in_time = self._strategies.fit.list_in_time(unit, pool)
         workers = None
-        if not self._shortages.rules_out(demand):
+        if in_time is not None and not unit.crashes:
+            avoided = self._limits.list_avoided(unit, in_time)
+            workers = self._place_within(unit, in_time, demand, avoided)
+            if workers is None and self._preempt_for(unit, in_time, now, wanted=True):
+                return False
+        if workers is None and not self._shortages.rules_out(demand):
             workers = self._place(unit, pool, now, demand)
         if workers is not None:
             self._plan(unit, workers)
@@ -250,15 +261,22 @@
 
     def _plan(self, unit: Unit, workers: Sequence[str]) -> None:
         apart = is_suspect(unit)
-        for worker_id in workers:
-            candidate = self._view.by_id[worker_id]
+        members = [self._view.by_id[worker_id] for worker_id in workers]
+        for candidate in members:
             candidate.free = Resources() if apart else candidate.free - unit.step.need
         if self._filling is not None and self._filling.step_key != name_step(unit):
             self._filling = None
         self._core.plan_run(unit, workers)
         self._estimates.invalidate(unit)
+        fit, pool = self._strategies.fit, self._list_candidates(unit)
+        inputs = fit.describe_choice(unit, pool, members)
+        if inputs:
+            self._core.note("placed by slack", **inputs)
 
-    def _preempt_for(self, unit: Unit, pool: list[Candidate], now: float) -> bool:
+    def _preempt_for(
+        self, unit: Unit, pool: list[Candidate], now: float, *, wanted: bool = False
+    ) -> bool:
+        """Make room on workers of ``pool``, which are needed or only ``wanted``."""
         if unit.job.accepted.priority != 0:
             return False
         found = self._strategies.victims.choose(
@@ -267,6 +285,7 @@
             now,
             avoided=self._limits.list_avoided(unit, pool),
             spread_allowed=self._limits.may_spread(unit),
+            may_start_elsewhere=wanted,
         )
         if found is None:
             return False
@@ -278,17 +297,11 @@
             waited_s=round(now - unit.ready_at, 3),
             guaranteed=is_guaranteed(self._core, unit),
         )
-        stopped = tuple(
-            placement
-            for victim in found.victims
-            for placement in victim.placements.values()
-            if placement.worker_id in found.workers
-        )
         for victim in found.victims:
             self._estimates.invalidate(victim)
             self._core.preempt(victim)
             victim.backoff_until = now + PREEMPTED_BACKOFF_S
-        self._reservations.add(unit, Reservation(found.workers, now, stopped))
+        self._reservations.add(unit, reserve_workers(found, now))
         for worker_id in found.workers:
             candidate = self._view.by_id[worker_id]
             candidate.free = candidate.free - unit.step.need
--- a/src/firladder/_internal/engine/reservations.py
+++ b/src/firladder/_internal/engine/reservations.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping, Sequence
 
 from .placement import Candidate
+from .preemption import PreemptionPlan
 from .state import Placement, Unit, Worker
 
 RESERVATION_S = 1.5
@@ -37,6 +38,17 @@
         )
 
 
+def reserve_workers(plan: PreemptionPlan, now: float) -> Reservation:
+    """Return the reservation of the workers that a preemption frees."""
+    stopped = tuple(
+        placement
+        for victim in plan.victims
+        for placement in victim.placements.values()
+        if placement.worker_id in plan.workers
+    )
+    return Reservation(plan.workers, now, stopped)
+
+
 class Reservations:
     """The reservations of one planner, kept from pass to pass."""
 
--- a/src/firladder/_internal/engine/strategies.py
+++ b/src/firladder/_internal/engine/strategies.py
@@ -28,7 +28,7 @@
     """The registered names of a planner's strategies; leaders use the defaults."""
 
     order: str = "in_time_first"
-    fit: str = "best_fit"
+    fit: str = "by_slack"
     victims: str = "least_loss"
     moves: tuple[str, ...] = ("off_draining",)
 
--- a/src/firladder/_internal/engine/strategy_kinds.py
+++ b/src/firladder/_internal/engine/strategy_kinds.py
@@ -1,7 +1,7 @@
 """The kinds of strategies that a planner is made of, and their registries."""
 
 import dataclasses
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import Protocol
 
 from ..policies.registry import Registry
@@ -49,6 +49,16 @@
     def choose_preference(self, unit: Unit, pool: Sequence[Candidate]) -> Preference:
         """Return which workers of its pool the unit takes first."""
 
+    def list_in_time(
+        self, unit: Unit, pool: Sequence[Candidate]
+    ) -> list[Candidate] | None:
+        """Return the workers that room is made on before others are used, or None."""
+
+    def describe_choice(
+        self, unit: Unit, pool: Sequence[Candidate], members: Sequence[Candidate]
+    ) -> Mapping[str, object]:
+        """Return what a placement was decided by, or nothing if best fit decided."""
+
 
 class Victims(Protocol):
     """Which running work is preempted for an urgent unit."""
@@ -61,8 +71,12 @@
         *,
         avoided: Collection[str],
         spread_allowed: bool,
+        may_start_elsewhere: bool,
     ) -> PreemptionPlan | None:
-        """Return the units to stop now, or None."""
+        """Return the units to stop now, or None.
+
+        With ``may_start_elsewhere`` the unit can start at once on slower workers.
+        """
 
 
 class Move(Protocol):
--- a/src/firladder/_internal/engine/victims.py
+++ b/src/firladder/_internal/engine/victims.py
@@ -50,6 +50,7 @@
         *,
         avoided: Collection[str],
         spread_allowed: bool,
+        may_start_elsewhere: bool,
     ) -> PreemptionPlan | None:
         """Return the units to stop now for an urgent unit, or None."""
         planner = PreemptionPlanner(
@@ -61,7 +62,9 @@
         found = planner.plan(unit, avoided=avoided, spread_allowed=spread_allowed)
         if found is None:
             return None
-        if not self._is_worth_cost(unit, found) and not self._must_reclaim(unit, now):
+        if self._is_worth_cost(unit, found):
+            return found
+        if may_start_elsewhere or not self._must_reclaim(unit, now):
             return None
         return found
 
@@ -99,6 +102,7 @@
         *,
         avoided: Collection[str],
         spread_allowed: bool,
+        may_start_elsewhere: bool,
     ) -> PreemptionPlan | None:
         """Return None."""
         return None
--- a/src/firladder/_internal/evaluation/day_report.py
+++ b/src/firladder/_internal/evaluation/day_report.py
@@ -6,6 +6,7 @@
 from .day_driver import DayDriver, DayOutcome
 from .day_loads import DAYS
 from .day_policies import PLANNERS
+from .reference_planners import prepare_driver
 
 KINDS = ("urgent", "heavy", "small")
 CAUSES = (
@@ -21,7 +22,8 @@
     make_day, kind = DAYS.find(day), PLANNERS.find(planner)
     if make_day is None or kind is None:
         raise ValueError(f"no day {day!r} or planner {planner!r}")
-    return [DayDriver(make_day(seed), kind).run() for seed in seeds]
+    days = [make_day(seed) for seed in seeds]
+    return [prepare_driver(DayDriver(day, kind), day).run() for day in days]
 
 
 def format_header() -> str:
