--- a/src/firladder/_internal/engine/work_order.py
+++ b/src/firladder/_internal/engine/work_order.py
@@ -37,6 +37,27 @@
         )
 
 
+@ORDERS.register("priority_arrival")
+class PriorityArrival:
+    """By priority, then by arrival, whether work is late or not."""
+
+    strict = False
+
+    def __init__(self, settings: PlannerSettings) -> None:
+        """Take no setting."""
+
+    def rank(self, unit: Unit, wall: float) -> tuple[float, ...]:
+        """Rank a waiting unit."""
+        accepted = unit.job.accepted
+        return (
+            accepted.priority,
+            accepted.accepted_at_s,
+            unit.occurrence,
+            unit.step_index,
+            unit.indices[0],
+        )
+
+
 @ORDERS.register("arrival")
 class Arrival:
     """By arrival, whatever the priority; later units fill what earlier ones leave."""
--- a/src/firladder/_internal/evaluation/day_driver.py
+++ b/src/firladder/_internal/evaluation/day_driver.py
@@ -235,7 +235,7 @@
         self.core.expire_runs(self._now)
         self.core.abort_late_gangs(self._now)
         self.core.abort_stalled_runs(self._now)
-        self.planner.move_off_draining(self._now)
+        self.planner.move_units(self._now)
 
     def _drop_given_up(self) -> None:
         """Await no more jobs that were given up, once no task of theirs is left."""
--- a/src/firladder/_internal/evaluation/day_report.py
+++ b/src/firladder/_internal/evaluation/day_report.py
@@ -4,12 +4,11 @@
 import statistics
 from collections.abc import Callable, Iterator, Sequence
 
-from . import known_pairs  # noqa: F401
+from . import known_pairs, reference_planners  # noqa: F401
 from .day_driver import DayDriver
 from .day_loads import DAYS
 from .day_outcomes import DayOutcome
 from .day_policies import PLANNERS
-from .reference_planners import prepare_driver
 
 KINDS = ("urgent", "heavy", "small")
 CAUSES = (
@@ -38,7 +37,7 @@
     if make_day is None or kind is None:
         raise ValueError(f"no day {day!r} or planner {planner!r}")
     days = [make_day(seed) for seed in seeds]
-    return [prepare_driver(DayDriver(day, kind), day).run() for day in days]
+    return [DayDriver(day, kind).run() for day in days]
 
 
 def format_header() -> str:
--- a/src/firladder/_internal/evaluation/known_pairs.py
+++ b/src/firladder/_internal/evaluation/known_pairs.py
@@ -10,11 +10,15 @@
 from types import MappingProxyType
 
 from ..engine.core import Core
-from ..engine.placement import Candidate, place_unit
+from ..engine.fits import BestFit
+from ..engine.placement import Candidate
 from ..engine.planning import Planner
+from ..engine.preferences import FAST_FIRST, Preference
 from ..engine.profiles import UNKNOWN, WorkerProfile
 from ..engine.shortages import Demand
 from ..engine.state import Placement, Unit
+from ..engine.strategies import StrategyNames
+from ..engine.strategy_kinds import FITS
 from .day_jobs import Day
 from .day_policies import PLANNERS
 
@@ -35,13 +39,23 @@
 class ArrivalOrderPlanner(Planner):
     """Plans the work of a priority in the order of arrival, also what is late."""
 
-    def _is_late(self, unit: Unit, wall: float) -> bool:
-        return False
+    strategy_names = StrategyNames(order="priority_arrival")
+
+
+@FITS.register("fast_first")
+class FastFirstFit(BestFit):
+    """Fast workers first for all work."""
+
+    def choose_preference(self, unit: Unit, pool: Sequence[Candidate]) -> Preference:
+        """Return the preference for fast workers."""
+        return FAST_FIRST
 
 
 class SlowFirstPlanner(Planner):
     """Gives lower-priority work the slow workers first, and urgent work the fast."""
 
+    strategy_names = StrategyNames(fit="fast_first")
+
     def __init__(self, core: Core, *, reclaim_s: float, restart_s: float) -> None:
         """Plan for ``core``."""
         super().__init__(core, reclaim_s=reclaim_s, restart_s=restart_s)
@@ -79,25 +93,6 @@
     ) -> str | None:
         return None
 
-    def _place_within(
-        self,
-        unit: Unit,
-        pool: Sequence[Candidate],
-        now: float,
-        demand: Demand,
-        avoided: set[str],
-    ) -> list[str] | None:
-        return place_unit(
-            unit.step,
-            demand.count,
-            pool,
-            avoided=avoided,
-            taken=self._count_taken(unit),
-            spread_allowed=self._may_spread(unit, now),
-            run_time_s=max(0.0, demand.run_time_s),
-            fast_first=True,
-        )
-
 
 @PLANNERS.register("known_speeds_slow_first")
 class KnownSpeedsPlanner(SlowFirstPlanner):
--- a/src/firladder/_internal/evaluation/reference_planners.py
+++ b/src/firladder/_internal/evaluation/reference_planners.py
@@ -6,21 +6,21 @@
 
 from collections.abc import Mapping
 
+from ..engine.machines import WorkerProfile
 from ..engine.planning import Planner
-from ..engine.profiles import Profiles, WorkerProfile
-from ..engine.speeds import Speeds
+from ..engine.profiles import Profiles
+from ..engine.slow_phases import Note
 from ..engine.strategies import StrategyNames
-from .day_driver import DayDriver
-from .day_loads import Day
+from .day_jobs import Day
 from .day_policies import PLANNERS
 
 
 class KnownProfiles(Profiles):
     """Profiles with the true slowness of each worker."""
 
-    def __init__(self, slowdowns: Mapping[str, float]) -> None:
+    def __init__(self, slowdowns: Mapping[str, float], note: Note) -> None:
         """Return the slowness in ``slowdowns``."""
-        super().__init__(Speeds())
+        super().__init__(note)
         self._slowdowns = slowdowns
 
     def find(self, worker_id: str, now: float) -> WorkerProfile:
@@ -28,22 +28,17 @@
         return WorkerProfile(self._slowdowns.get(worker_id, 1.0), measured=True)
 
 
+@PLANNERS.register("speeds_known")
 class SpeedsKnown(Planner):
     """The engine's planner with the true speeds."""
 
+    def know_day(self, day: Day) -> None:
+        """Use the speeds of the day's workers."""
+        self._core.profiles = KnownProfiles(day.slowdowns, self._core.note)
 
-class SpeedsKnownBestFit(Planner):
+
+@PLANNERS.register("speeds_known_best_fit")
+class SpeedsKnownBestFit(SpeedsKnown):
     """The true speeds with best fit for all work."""
 
     strategy_names = StrategyNames(fit="best_fit")
-
-
-PLANNERS.register("speeds_known")(SpeedsKnown)
-PLANNERS.register("speeds_known_best_fit")(SpeedsKnownBestFit)
-
-
-def prepare_driver(driver: DayDriver, day: Day) -> DayDriver:
-    """Tell the driver's core the true speeds if its planner knows them."""
-    if isinstance(driver.planner, SpeedsKnown | SpeedsKnownBestFit):
-        driver.core.profiles = KnownProfiles(day.slowdowns)
-    return driver
