--- a/src/firladder/_internal/evaluation/day_records.py
+++ b/src/firladder/_internal/evaluation/day_records.py
@@ -52,10 +52,7 @@
 
     def _restore_profiles(self, core: Core, former: Core, now: float) -> None:
         # A core without a record of its profiles loses them with its leader.
-        encode = getattr(former.profiles, "encode", None)
-        restore = getattr(core.profiles, "restore", None)
-        if encode is None or restore is None:
-            return
-        failure = restore(encode(now), now)
+        record = former.profiles.encode(now, wall=now)
+        failure = core.profiles.restore(record, now, wall=now)
         if failure is not None:
             logger.error("cannot restore the profiles: %s", failure)
