Count lost work in core-seconds, and use what earlier stops free

A run that was preempted counted as one second of its cores, whatever it had done. It now counts as the work that it lost; after a takeover the former count is the minimum. It decides which work is stopped, not whether any is.

A test with endless bursts of guaranteed urgent jobs showed that heavy gangs never ended: each job of a burst stopped a gang of its own, although the first gang freed enough for all. What must start whatever it costs now first uses the capacity of tasks that are being stopped.

--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -13,6 +13,7 @@
 from .isolation import awaits_isolation, is_suspect, list_apart
 from .placement import Candidate, fits_one_rack, place_unit
 from .pool_view import PoolView
+from .preemption import estimate_run_loss
 from .reservations import (
     Reservation,
     Reservations,
@@ -57,6 +58,7 @@
         self._core = core
         self._estimates = estimates or Estimates(core)
         self._reclaim_s = reclaim_s
+        self._restart_s = restart_s
         self._strategies = choose_strategies(
             self.strategy_names,
             PlannerSettings(core, self._estimates, reclaim_s, restart_s),
@@ -120,8 +122,12 @@
         self._estimates.begin_pass()
         for move in self._strategies.moves:
             for unit in move.list_units(now):
-                self._estimates.invalidate(unit)
-                self._core.preempt(unit)
+                self._stop(unit, now)
+
+    def _stop(self, unit: Unit, now: float) -> None:
+        unit.lost_core_s += estimate_run_loss(unit, now, restart_s=self._restart_s)
+        self._estimates.invalidate(unit)
+        self._core.preempt(unit)
 
     def _begin_pass(self, now: float, wall: float) -> None:
         self._view = PoolView(self._core, now)
@@ -298,8 +304,7 @@
             guaranteed=is_guaranteed(self._core, unit),
         )
         for victim in found.victims:
-            self._estimates.invalidate(victim)
-            self._core.preempt(victim)
+            self._stop(victim, now)
             victim.backoff_until = now + PREEMPTED_BACKOFF_S
         self._reservations.add(unit, reserve_workers(found, now))
         for worker_id in found.workers:
--- a/src/firladder/_internal/engine/preemption.py
+++ b/src/firladder/_internal/engine/preemption.py
@@ -1,20 +1,22 @@
 """Choose the running units to preempt for an urgent unit."""
 
 import dataclasses
+import itertools
 from collections.abc import Collection, Iterable, Sequence
 
 from ..models.workload import Resources
 from .placement import Candidate, fits_one_rack, group_by_rack, list_suitable
-from .state import Phase, Unit, Worker
+from .state import Phase, Placement, Unit, Worker
 
 ACCELERATOR_CORES = 8.0
 """Cores that one accelerator counts for in the cost of lost work, as in the price list
 of the platform."""
 
 LOST_RUN_PENALTY_S = 1.0
-"""Seconds of its cores by which a unit's cost grows with each run that it has lost. A
-unit that has just started costs nothing to stop and would always be the first victim:
-without the penalty, the same gang is started and preempted again and again."""
+"""Minimum seconds of its cores by which a unit's cost grows with each run that it has
+lost. A unit that has just started costs nothing to stop and would always be the first
+victim: without the penalty, the same gang is started and preempted again and again. A
+new leader knows the number of lost runs, but not the work that was lost with them."""
 
 NEAR_END_WEIGHT = 1.0
 """Extra weight of work in proportion to its progress: a unit that ends soon frees its
@@ -23,11 +25,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PreemptionPlan:
-    """A worker for each task of an urgent unit, and the units to stop for it."""
+    """A worker for each task of an urgent unit, and the units to stop for it.
+
+    ``stopping`` has placements on these workers that were stopped before.
+    """
 
     workers: tuple[str, ...]
     victims: tuple[Unit, ...]
     cost: float
+    stopping: tuple[Placement, ...] = ()
 
 
 def count_cores(need: Resources) -> float:
@@ -38,21 +44,40 @@
 def estimate_loss(unit: Unit, now: float, *, restart_s: float) -> float:
     """Return the work that is lost when a unit is stopped, in core-seconds.
 
+    Load: an endless stream of urgent work within guarantees. Work that the unit has
+    lost before adds to the cost, even if the current run is not active yet: the same
+    gang would otherwise be preempted late in each of its runs. As the cost grows by
+    all that was lost, other work is the cheaper choice after a few preemptions.
+    """
+    lost_before = max(unit.lost_core_s, estimate_penalty(unit))
+    done = max((p.percent for p in _list_active(unit)), default=0.0) / 100
+    lost = estimate_run_loss(unit, now, restart_s=restart_s)
+    return lost_before + lost * (1 + NEAR_END_WEIGHT * done)
+
+
+def estimate_penalty(unit: Unit) -> float:
+    """Return the minimum cost of the runs that a unit has lost, in core-seconds."""
+    cores = count_cores(unit.step.need) * len(unit.indices)
+    return cores * LOST_RUN_PENALTY_S * (unit.run - 1)
+
+
+def estimate_run_loss(unit: Unit, now: float, *, restart_s: float) -> float:
+    """Return the work that the current run loses by a stop, in core-seconds.
+
     A task with checkpoints also saves one when it is stopped, so it loses at most
-    ``restart_s`` for the stop and the restore. Earlier lost runs add to the cost, even
-    if the current run is not active yet.
+    ``restart_s`` for the stop and the restore.
     """
-    cores = count_cores(unit.step.need)
-    lost_before = cores * len(unit.indices) * LOST_RUN_PENALTY_S * (unit.run - 1)
-    active = [p for p in unit.placements.values() if p.active_at]
+    active = _list_active(unit)
     if not active:
-        return lost_before
+        return 0.0
     elapsed = now - max(p.active_at for p in active)
-    done = max(p.percent for p in active) / 100
     lost_s = min(elapsed, restart_s) if unit.step.checkpoints else elapsed
     # A new leader may not have a report of each member yet: it counts as active too.
-    members = len(unit.placements)
-    return lost_before + cores * members * lost_s * (1 + NEAR_END_WEIGHT * done)
+    return count_cores(unit.step.need) * len(unit.placements) * lost_s
+
+
+def _list_active(unit: Unit) -> list[Placement]:
+    return [p for p in unit.placements.values() if p.active_at]
 
 
 def list_victims(worker: Worker, *, below: int) -> list[Unit]:
@@ -67,6 +92,13 @@
     return list(units.values())
 
 
+def list_stopping(worker: Worker) -> list[Placement]:
+    """Return the placements on a worker that end soon because they were stopped."""
+    if not worker.reachable:
+        return []
+    return [p for p in worker.placements.values() if p.phase is Phase.STOPPING]
+
+
 class PreemptionPlanner:
     """Finds a cheap set of units to stop so that an urgent unit fits.
 
@@ -82,8 +114,13 @@
         workers: dict[str, Worker],
         now: float,
         restart_s: float,
+        use_stopping: bool = False,
     ) -> None:
-        """Plan for one pass, on the free capacity that this pass has left."""
+        """Plan for one pass, on the free capacity that this pass has left.
+
+        With ``use_stopping`` that includes what earlier stops free soon.
+        """
+        self._use_stopping = use_stopping
         self._candidates = candidates
         self._workers = workers
         self._now = now
@@ -112,7 +149,7 @@
         self, unit: Unit, pool: Sequence[Candidate]
     ) -> PreemptionPlan | None:
         step = unit.step
-        free = {c.worker_id: c.free for c in pool}
+        free = {c.worker_id: self._find_free(c) for c in pool}
         used: dict[str, int] = {}
         changed: set[str] = set()
         victims: dict[int, Unit] = {}
@@ -157,7 +194,21 @@
             changed.add(worker_id)
             used[worker_id] = used.get(worker_id, 0) + 1
             chosen.append(worker_id)
-        return PreemptionPlan(tuple(chosen), tuple(victims.values()), cost)
+        stopping = itertools.chain.from_iterable(
+            list_stopping(self._workers[worker_id])
+            for worker_id in used
+            if self._use_stopping
+        )
+        return PreemptionPlan(
+            tuple(chosen), tuple(victims.values()), cost, tuple(stopping)
+        )
+
+    def _find_free(self, candidate: Candidate) -> Resources:
+        """Return a worker's free capacity, now or when its stopped tasks have ended."""
+        if not self._use_stopping:
+            return candidate.free
+        needs = [p.need for p in list_stopping(self._workers[candidate.worker_id])]
+        return sum(needs, start=candidate.free)
 
     def _estimate_cost(self, unit: Unit) -> float:
         cached = self._costs.get(id(unit))
@@ -177,7 +228,7 @@
         worker_id = candidate.worker_id
         if worker_id not in self._first_victims:
             self._first_victims[worker_id] = self._find_victims_on(
-                unit, worker_id, candidate.free, {}
+                unit, worker_id, self._find_free(candidate), {}
             )
         return self._first_victims[worker_id]
 
--- a/src/firladder/_internal/engine/reservations.py
+++ b/src/firladder/_internal/engine/reservations.py
@@ -46,7 +46,7 @@
         for placement in victim.placements.values()
         if placement.worker_id in plan.workers
     )
-    return Reservation(plan.workers, now, stopped)
+    return Reservation(plan.workers, now, stopped + plan.stopping)
 
 
 class Reservations:
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -152,7 +152,8 @@
     ``backoff_until``. ``ready_at`` is when the unit could first be planned, and
     ``waiting_since`` when it could be planned again after its last run; both are
     negative before. ``first_start_at`` is when the first start of the current run was
-    sent, or None.
+    sent, or None. ``lost_core_s`` is the work that preemptions have cost, in
+    core-seconds, as far as this leader knows.
     """
 
     job: "Job"
@@ -172,6 +173,7 @@
     backoff_until: float = 0.0
     avoided: set[str] = dataclasses.field(default_factory=set)
     first_start_at: float | None = None
+    lost_core_s: float = 0.0
 
     @property
     def step(self) -> Step:
--- a/src/firladder/_internal/engine/victims.py
+++ b/src/firladder/_internal/engine/victims.py
@@ -1,10 +1,16 @@
 """Which running work is preempted for urgent work, and when."""
 
+import functools
 from collections.abc import Collection, Sequence
 
 from .guarantees import is_guaranteed
 from .placement import Candidate
-from .preemption import PreemptionPlan, PreemptionPlanner, count_cores
+from .preemption import (
+    PreemptionPlan,
+    PreemptionPlanner,
+    count_cores,
+    estimate_penalty,
+)
 from .state import Unit
 from .strategy_kinds import VICTIMS, PlannerSettings
 
@@ -32,7 +38,10 @@
 class LeastLoss:
     """Stops the work that loses least, if the urgent work is worth that or must start.
 
-    Load: urgent work on a pool that is full of lower-priority work.
+    Load: urgent work on a pool that is full of lower-priority work, and a burst of
+    small urgent jobs within a guarantee. What must start whatever it costs first uses
+    the capacity that earlier stops free soon: each job would otherwise stop a gang of
+    its own, although the first gang frees enough for all of them.
     """
 
     def __init__(self, settings: PlannerSettings) -> None:
@@ -53,20 +62,34 @@
         may_start_elsewhere: bool,
     ) -> PreemptionPlan | None:
         """Return the units to stop now for an urgent unit, or None."""
+        plan = functools.partial(
+            self._plan, unit, pool, now, avoided=avoided, spread_allowed=spread_allowed
+        )
+        found = plan(use_stopping=False)
+        if found is None or self._is_worth_cost(unit, found):
+            return found
+        if may_start_elsewhere or not self._must_reclaim(unit, now):
+            return None
+        return plan(use_stopping=True)
+
+    def _plan(
+        self,
+        unit: Unit,
+        pool: Sequence[Candidate],
+        now: float,
+        *,
+        avoided: Collection[str],
+        spread_allowed: bool,
+        use_stopping: bool,
+    ) -> PreemptionPlan | None:
         planner = PreemptionPlanner(
             candidates=pool,
             workers=self._core.workers,
             now=now,
             restart_s=self._restart_s,
+            use_stopping=use_stopping,
         )
-        found = planner.plan(unit, avoided=avoided, spread_allowed=spread_allowed)
-        if found is None:
-            return None
-        if self._is_worth_cost(unit, found):
-            return found
-        if may_start_elsewhere or not self._must_reclaim(unit, now):
-            return None
-        return found
+        return planner.plan(unit, avoided=avoided, spread_allowed=spread_allowed)
 
     def _must_reclaim(self, unit: Unit, now: float) -> bool:
         cheap_only_s = min(
@@ -75,8 +98,14 @@
         return now - unit.ready_at >= cheap_only_s and is_guaranteed(self._core, unit)
 
     def _is_worth_cost(self, unit: Unit, found: PreemptionPlan) -> bool:
+        # What was lost before decides which work is stopped, not whether any is: urgent
+        # work would otherwise wait for work that was preempted once late in its run.
+        cost = found.cost - sum(
+            max(0.0, victim.lost_core_s - estimate_penalty(victim))
+            for victim in found.victims
+        )
         cores = count_cores(unit.step.need) * len(unit.indices)
-        return found.cost <= MAX_LOSS_RATIO * cores * self._estimates.estimate_run(unit)
+        return cost <= MAX_LOSS_RATIO * cores * self._estimates.estimate_run(unit)
 
 
 @VICTIMS.register("least_loss_at_once")
