Move running work that falls behind to faster workers

Work on a worker that became several times slower stayed there to its end, and a gang waited for its slowest member. A unit that will be late and has a member on a worker known to be slow is now stopped and placed elsewhere, if free workers known to be faster end it sooner by more than the move costs; without checkpoints, only if little is done yet. On workers of equal speed nothing is moved.

--- a/src/firladder/_internal/engine/strategies.py
+++ b/src/firladder/_internal/engine/strategies.py
@@ -4,7 +4,7 @@
 from typing import TypeVar
 
 from ..policies.registry import Registry
-from . import draining, fits, victims, work_order
+from . import draining, fits, moves, victims, work_order
 from .strategy_kinds import (
     FITS,
     MOVES,
@@ -17,7 +17,7 @@
     Victims,
 )
 
-CATALOGUE = (draining, fits, victims, work_order)
+CATALOGUE = (draining, fits, moves, victims, work_order)
 """The modules whose strategies are registered when they are imported."""
 
 T = TypeVar("T")
@@ -30,7 +30,7 @@
     order: str = "in_time_first"
     fit: str = "by_slack"
     victims: str = "least_loss"
-    moves: tuple[str, ...] = ("off_draining",)
+    moves: tuple[str, ...] = ("off_draining", "off_slow")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
