--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -161,6 +161,8 @@
     negative before. ``first_start_at`` is when the first start of the current run was
     sent, or None; ``durable_at`` is when it was queued, once the run was durable.
     ``work_s`` is the run time of the ended unit on usual workers, or 0 if not measured.
+    sent, or None. ``lost_core_s`` is the work that preemptions have cost, in
+    core-seconds, as far as this leader knows.
     """
 
     job: "Job"
@@ -182,6 +184,7 @@
     first_start_at: float | None = None
     durable_at: float | None = None
     work_s: float = 0.0
+    lost_core_s: float = 0.0
 
     @property
     def step(self) -> Step:
