--- a/src/firladder/_internal/engine/moves.py
+++ b/src/firladder/_internal/engine/moves.py
@@ -84,6 +84,7 @@
         self._restart_s = settings.restart_s
         self._moved: Counter[str] = Counter()
         self._in_flight: list[tuple[Unit, int]] = []
+        self._view: PoolView | None = None
 
     def list_units(self, now: float) -> Iterator[Unit]:
         """Yield the units that must be stopped now, with the workers to avoid set."""
@@ -91,6 +92,7 @@
         slow = list(self._list_on_slow(now))
         if not slow:
             return
+        self._view = None
         for job_id in [i for i in self._moved if i not in self._core.jobs]:
             del self._moved[job_id]
         for unit in slow:
@@ -170,12 +172,14 @@
 
     def _find_elsewhere(self, unit: Unit, behind: _Member, now: float) -> float | None:
         """Return the slowness of the slowest of other workers with room, or None."""
-        view = PoolView(self._core, now)
+        if self._view is None:
+            # Each stop frees capacity only later, so one view serves all units.
+            self._view = PoolView(self._core, now)
         own = {p.worker_id for p in unit.placements.values()}
         pool = self._core.workers[behind.worker_id].entry.pool
         usable = [
             self._free_own(candidate, unit) if candidate.worker_id in own else candidate
-            for candidate in view.list_pool(pool)
+            for candidate in self._view.list_pool(pool)
             if candidate.profile.measured
             and candidate.profile.doubt < DOUBTFUL
             and estimate_slowness(candidate) < behind.slowness
