--- a/src/firladder/_internal/engine/moves.py
+++ b/src/firladder/_internal/engine/moves.py
@@ -21,8 +21,8 @@
 MIN_SLOWNESS = 2.0
 """Slowness from which a worker's runs are considered. Workers of a heterogeneous pool
 take up to 1.6 times as long, and the fit allows for that; moving work off them (from
-1.25) lost 5,000 to 12,000 more core-seconds a day and gained nothing. Workers that become slow take
-several times as long."""
+1.25) lost 5,000 to 12,000 more core-seconds a day and gained nothing. Workers that
+become slow take several times as long."""
 
 MIN_PERCENT = 10.0
 """Progress from which a member's own pace is used; below it, rounding to whole per cent
