Move the placement of one unit out of the planner

Nothing else changes. Run: engine_policy, engine_matching, engine_crashes, engine_victims, engine_moves, engine_large_fleet, engine_waiting_units: 91 passed; node_passes and node_large_fleet: 11 passed.

--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -10,8 +10,9 @@
 from .estimates import Estimates
 from .filling import Filling, StepKey, name_step
 from .guarantees import is_guaranteed
-from .isolation import awaits_isolation, is_suspect, list_apart
-from .placement import Candidate, fits_one_rack, place_unit
+from .isolation import awaits_isolation, is_suspect
+from .placement import Candidate
+from .placing import UnitPlacer
 from .pool_view import PoolView
 from .preemption import estimate_run_loss
 from .reservations import (
@@ -68,6 +69,7 @@
         self._shortages = Shortages()
         self._view = PoolView(core, now=0.0)
         self._limits = self._make_limits(now=0.0)
+        self._placer = UnitPlacer(core, self._strategies.fit, self._limits)
         self._filling: Filling | None = None
         self._blocked: set[StepKey] = set()
         self._protected_gangs = 0
@@ -133,6 +135,7 @@
         self._view = PoolView(self._core, now)
         self._limits = self._make_limits(now)
         self._strategies.fit.begin_pass(self._view, now, wall)
+        self._placer = UnitPlacer(self._core, self._strategies.fit, self._limits)
         self._filling = None
         self._blocked = set()
         self._protected_gangs = 0
@@ -168,7 +171,7 @@
         workers = None
         if in_time is not None and not unit.crashes:
             avoided = self._limits.list_avoided(unit, in_time)
-            workers = self._place_within(unit, in_time, demand, avoided)
+            workers = self._placer.place_within(unit, in_time, demand, avoided)
             if workers is None and self._preempt_for(unit, in_time, now, wanted=True):
                 return False
         if workers is None and not self._shortages.rules_out(demand):
@@ -213,9 +216,9 @@
         if demand.run_time_s == ANY_WORKER_S:
             pool = [dataclasses.replace(c, backfill_window_s=math.inf) for c in pool]
         if unit.crashes:
-            return self._place_apart(unit, pool, now, demand)
+            return self._placer.place_apart(unit, pool, now, demand)
         avoided = self._limits.list_avoided(unit, pool)
-        found = self._place_within(unit, pool, demand, avoided)
+        found = self._placer.place_within(unit, pool, demand, avoided)
         if found is None:
             self._shortages.record(demand, unit.step, has_exclusions=bool(avoided))
         return found
@@ -234,37 +237,6 @@
             )
         return self._filling.choose(unit, taken, run_time_s=run_time_s)
 
-    def _place_within(
-        self,
-        unit: Unit,
-        pool: Sequence[Candidate],
-        demand: Demand,
-        avoided: set[str],
-    ) -> list[str] | None:
-        return place_unit(
-            unit.step,
-            demand.count,
-            pool,
-            avoided=avoided,
-            taken=count_taken(unit),
-            spread_allowed=self._limits.may_spread(unit),
-            run_time_s=max(0.0, demand.run_time_s),
-            preference=self._strategies.fit.choose_preference(unit, pool),
-        )
-
-    def _place_apart(
-        self, unit: Unit, pool: Sequence[Candidate], now: float, demand: Demand
-    ) -> list[str] | None:
-        """Return workers for a unit that was charged with crashes."""
-        for option in list_apart(unit, pool, self._core, now):
-            if demand.one_rack and not fits_one_rack(unit.step, demand.count, option):
-                continue
-            avoided = self._limits.list_avoided(unit, option)
-            found = self._place_within(unit, option, demand, avoided)
-            if found is not None:
-                return found
-        return None
-
     def _plan(self, unit: Unit, workers: Sequence[str]) -> None:
         apart = is_suspect(unit)
         members = [self._view.by_id[worker_id] for worker_id in workers]
