--- a/features/steps/engine_profiles_steps.py
+++ b/features/steps/engine_profiles_steps.py
@@ -10,7 +10,8 @@
 from firladder._internal.engine.planning import Planner
 from firladder._internal.engine.profiles import UNKNOWN
 from firladder._internal.evaluation.day_driver import DayDriver
-from firladder._internal.evaluation.day_loads import UNEVEN_POOL, _make_day
+from firladder._internal.evaluation.day_jobs import make_day
+from firladder._internal.evaluation.day_kinds import UNEVEN_POOL
 from firladder._internal.models.order import RunningTask
 from firladder._internal.models.workload import Resources
 
@@ -314,7 +315,7 @@
 @given("a day of uneven tasks on 48 equal workers, and seed {seed:d}")
 def make_day(context, seed):
     pool = dataclasses.replace(UNEVEN_POOL, workers=48, slowdowns=(1.0,))
-    context.day = _make_day(
+    context.day = make_day(
         seed, pool, rate_factor=0.28, burst_factor=2.0, initial_share=0.28
     )
 
