--- a/features/steps/engine_profiles_steps.py
+++ b/features/steps/engine_profiles_steps.py
@@ -313,7 +313,7 @@
 
 
 @given("a day of uneven tasks on 48 equal workers, and seed {seed:d}")
-def make_day(context, seed):
+def make_equal_day(context, seed):
     pool = dataclasses.replace(UNEVEN_POOL, workers=48, slowdowns=(1.0,))
     context.day = make_day(
         seed, pool, rate_factor=0.28, burst_factor=2.0, initial_share=0.28
