Count a worker as doubtful when it more likely fails a run than not

One run that failed through its own fault put its worker last for half a second, so that decisions on a pool of equal workers depended on it. The limit is now a half, which takes two failures. The fixed profiles of the matching scenarios offer all that the core asks of profiles.

--- a/features/steps/engine_matching_steps.py
+++ b/features/steps/engine_matching_steps.py
@@ -12,22 +12,26 @@
     make_step,
 )
 from firladder._internal.engine.planning import Planner
-from firladder._internal.engine.profiles import WorkerProfile
+from firladder._internal.engine.profiles import Profiles, WorkerProfile
 from firladder._internal.engine.state import Phase
 from firladder._internal.engine.strategies import StrategyNames
 
 RUN_S = 4.0
 
 
-class FixedProfiles:
+class FixedProfiles(Profiles):
     """Profiles that do not change."""
 
     def __init__(self, profiles) -> None:
+        super().__init__(lambda what, **inputs: None)
         self.profiles = profiles
 
     def find(self, worker_id, now):
         return self.profiles[worker_id]
 
+    def find_lasting(self, worker_id):
+        return self.profiles[worker_id]
+
 
 class BestFitPlanner(Planner):
     strategy_names = StrategyNames(fit="best_fit")
--- a/src/firladder/_internal/engine/preferences.py
+++ b/src/firladder/_internal/engine/preferences.py
@@ -8,9 +8,9 @@
 if TYPE_CHECKING:
     from .placement import Candidate
 
-DOUBTFUL = 0.25
+DOUBTFUL = 0.5
 """Probability that a run fails through its worker's fault from which the worker is used
-last: five times the share of runs that fail on usual workers (5%)."""
+last. One failed run, which is most likely the task's own fault, stays below it."""
 
 DOUBTFUL_RANK = 1000.0
 LATE_RANK = 100.0
