Keep capacity free for urgent arrivals

Urgent gangs that arrive on a pool full of lower work wait for a stop, 0.2 to 0.95 s of an objective of 1.5 times their work, and the stopped work is lost. A new kind of strategy, headroom, names workers that lower work may not use now. The default learns rate, size and variation of urgent arrivals per pool and holds what they are expected to ask for while room is made, at most 15% of the pool. Nothing is held while more is free, 5 s after the last urgent arrival, from work that must start now to be in time, or from work that has waited for its objective.

Ran: all engine features, node_passes, product_cli, product_docs, product_pages; all pass.

--- a/src/firladder/_internal/commands/evaluate_days.py
+++ b/src/firladder/_internal/commands/evaluate_days.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping, Sequence
 
 from ..cli.exit_codes import EXIT_OK
+from ..evaluation import headroom_planners
 from ..evaluation.day_loads import DAYS
 from ..evaluation.day_policies import PLANNERS
 from ..evaluation.day_report import format_header, format_row, simulate_days
@@ -11,6 +12,9 @@
 from .evaluate import check_names, read_numbers
 from .registry import Command
 
+CATALOGUE = (headroom_planners,)
+"""The modules whose planners are registered when they are imported."""
+
 
 class EvaluateDaysCommand(Command):
     """Compare planners of steps of tasks side by side, with the same seeds."""
--- a/src/firladder/_internal/engine/filling.py
+++ b/src/firladder/_internal/engine/filling.py
@@ -1,7 +1,7 @@
 """The order in which single tasks of one step fill the workers within a pass."""
 
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from .placement import Candidate, order_by_fit, takes_another
 from .preferences import Preference
@@ -41,11 +41,19 @@
         )
 
     def choose(
-        self, unit: Unit, taken: Mapping[str, int], *, run_time_s: float
+        self,
+        unit: Unit,
+        taken: Mapping[str, int],
+        *,
+        run_time_s: float,
+        held: Collection[str],
     ) -> str | None:
-        """Return the worker for the next task, or None."""
+        """Return the worker for the next task, or None; none of ``held`` is used."""
         while self._left:
-            if takes_another(unit.step, self._left[0], taken, run_time_s=run_time_s):
-                return self._left[0].worker_id
+            first = self._left[0]
+            if first.worker_id not in held and takes_another(
+                unit.step, first, taken, run_time_s=run_time_s
+            ):
+                return first.worker_id
             self._left.popleft()
         return None
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import ClassVar
 
 from ..models.workload import Resources
@@ -88,6 +88,8 @@
             self._end_pass(interrupted=False)
             return 0
         self._begin_pass(now, wall)
+        headroom = self._strategies.headroom
+        headroom.begin_pass(units, self._waiting.find_pool, now, wall)
         rank = self._strategies.order.rank
         waiting = sorted(
             units, key=lambda unit: (id(unit) in self._tried, *rank(unit, wall))
@@ -153,9 +155,12 @@
         demand = self._limits.describe_demand(
             unit, run_time_s=self._estimates.estimate_run(unit)
         )
+        held: Collection[str] = ()
+        if demand.run_time_s != ANY_WORKER_S:
+            held = self._strategies.headroom.list_held(unit, demand.pool, pool)
         workers = None
         if not self._shortages.rules_out(demand):
-            workers = self._place(unit, pool, now, demand)
+            workers = self._place(unit, pool, now, demand, held)
         if workers is not None:
             self._plan(unit, workers)
             return True
@@ -188,23 +193,32 @@
         return True
 
     def _place(
-        self, unit: Unit, pool: Sequence[Candidate], now: float, demand: Demand
+        self,
+        unit: Unit,
+        pool: Sequence[Candidate],
+        now: float,
+        demand: Demand,
+        held: Collection[str],
     ) -> list[str] | None:
-        single = self._place_single(unit, pool, demand)
+        single = self._place_single(unit, pool, demand, held)
         if single is not None:
             return [single]
         if demand.run_time_s == ANY_WORKER_S:
             pool = [dataclasses.replace(c, backfill_window_s=math.inf) for c in pool]
         if unit.crashes:
             return self._place_apart(unit, pool, now, demand)
-        avoided = self._limits.list_avoided(unit, pool)
+        avoided = self._limits.list_avoided(unit, pool).union(held)
         found = self._place_within(unit, pool, demand, avoided)
         if found is None:
             self._shortages.record(demand, unit.step, has_exclusions=bool(avoided))
         return found
 
     def _place_single(
-        self, unit: Unit, pool: Sequence[Candidate], demand: Demand
+        self,
+        unit: Unit,
+        pool: Sequence[Candidate],
+        demand: Demand,
+        held: Collection[str],
     ) -> str | None:
         """Return the worker for a single task, or None if that is not quickly found."""
         if len(unit.indices) > 1 or unit.avoided or unit.crashes:
@@ -215,7 +229,7 @@
             self._filling = Filling(
                 unit, pool, taken, preference, run_time_s=run_time_s
             )
-        return self._filling.choose(unit, taken, run_time_s=run_time_s)
+        return self._filling.choose(unit, taken, run_time_s=run_time_s, held=held)
 
     def _place_within(
         self,
--- a/src/firladder/_internal/engine/strategies.py
+++ b/src/firladder/_internal/engine/strategies.py
@@ -4,20 +4,22 @@
 from typing import TypeVar
 
 from ..policies.registry import Registry
-from . import draining, fits, victims, work_order
+from . import draining, fits, headroom, victims, work_order
 from .strategy_kinds import (
     FITS,
+    HEADROOMS,
     MOVES,
     ORDERS,
     VICTIMS,
     Fit,
+    Headroom,
     Move,
     Order,
     PlannerSettings,
     Victims,
 )
 
-CATALOGUE = (draining, fits, victims, work_order)
+CATALOGUE = (draining, fits, headroom, victims, work_order)
 """The modules whose strategies are registered when they are imported."""
 
 T = TypeVar("T")
@@ -31,6 +33,7 @@
     fit: str = "best_fit"
     victims: str = "least_loss"
     moves: tuple[str, ...] = ("off_draining",)
+    headroom: str = "learned"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,6 +44,7 @@
     fit: Fit
     victims: Victims
     moves: tuple[Move, ...]
+    headroom: Headroom
 
 
 def choose_strategies(names: StrategyNames, settings: PlannerSettings) -> Strategies:
@@ -50,6 +54,7 @@
         _find(FITS, names.fit)(settings),
         _find(VICTIMS, names.victims)(settings),
         tuple(_find(MOVES, name)(settings) for name in names.moves),
+        _find(HEADROOMS, names.headroom)(settings),
     )
 
 
--- a/src/firladder/_internal/engine/strategy_kinds.py
+++ b/src/firladder/_internal/engine/strategy_kinds.py
@@ -1,7 +1,7 @@
 """The kinds of strategies that a planner is made of, and their registries."""
 
 import dataclasses
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Protocol
 
 from ..policies.registry import Registry
@@ -11,7 +11,7 @@
 from .pool_view import PoolView
 from .preemption import PreemptionPlan
 from .preferences import Preference
-from .state import Unit
+from .state import Job, Unit
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,6 +72,24 @@
         """Yield the units to stop; each is stopped before the next is asked for."""
 
 
+class Headroom(Protocol):
+    """Which workers are kept free from lower-priority work."""
+
+    def begin_pass(
+        self,
+        waiting: Iterable[Unit],
+        find_pool: Callable[[Job], str],
+        now: float,
+        wall: float,
+    ) -> None:
+        """Start a pass over the waiting units."""
+
+    def list_held(
+        self, unit: Unit, pool_name: str, pool: Sequence[Candidate]
+    ) -> Collection[str]:
+        """Return the workers of its pool that a unit may not use now."""
+
+
 class MakeOrder(Protocol):
     """Makes an order for a planner."""
 
@@ -96,7 +114,14 @@
     def __call__(self, settings: PlannerSettings) -> Move: ...
 
 
+class MakeHeadroom(Protocol):
+    """Makes a headroom for a planner."""
+
+    def __call__(self, settings: PlannerSettings) -> Headroom: ...
+
+
 ORDERS: Registry[MakeOrder] = Registry("order")
 FITS: Registry[MakeFit] = Registry("fit")
 VICTIMS: Registry[MakeVictims] = Registry("choice of victims")
 MOVES: Registry[MakeMove] = Registry("move")
+HEADROOMS: Registry[MakeHeadroom] = Registry("headroom")
