--- a/src/firladder/_internal/engine/filling.py
+++ b/src/firladder/_internal/engine/filling.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections import deque
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Collection, Iterator, Mapping, Sequence
 
 from .placement import Candidate, order_by_fit, takes_another
 from .preferences import Preference
@@ -41,12 +41,19 @@
         self._left = deque(_list_turns(ordered, preference))
 
     def choose(
-        self, unit: Unit, taken: Mapping[str, int], *, run_time_s: float
+        self,
+        unit: Unit,
+        taken: Mapping[str, int],
+        *,
+        run_time_s: float,
+        held: Collection[str],
     ) -> str | None:
-        """Return the worker for the next task, or None."""
+        """Return the worker for the next task, or None; none of ``held`` is used."""
         while self._left:
             candidate, once = self._left[0]
-            fits = takes_another(unit.step, candidate, taken, run_time_s=run_time_s)
+            fits = candidate.worker_id not in held and takes_another(
+                unit.step, candidate, taken, run_time_s=run_time_s
+            )
             if once or not fits:
                 self._left.popleft()
             if fits:
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import ClassVar
 
 from ..models.workload import Resources
@@ -97,6 +97,8 @@
             self._end_pass(interrupted=False)
             return 0
         self._begin_pass(now, wall)
+        headroom = self._strategies.headroom
+        headroom.begin_pass(units, self._waiting.find_pool, now, wall)
         rank = self._strategies.order.rank
         waiting = sorted(
             units, key=lambda unit: (id(unit) in self._tried, *rank(unit, wall))
@@ -170,6 +172,9 @@
         demand = self._limits.describe_demand(
             unit, run_time_s=self._estimates.estimate_run(unit)
         )
+        held: Collection[str] = ()
+        if demand.run_time_s != ANY_WORKER_S:
+            held = self._strategies.headroom.list_held(unit, demand.pool, pool)
         in_time = self._strategies.fit.list_in_time(unit, pool)
         workers = None
         if in_time is not None and not unit.crashes:
@@ -178,7 +183,7 @@
             if workers is None and self._preempt_for(unit, in_time, now, wanted=True):
                 return False
         if workers is None and not self._shortages.rules_out(demand):
-            workers = self._place(unit, pool, now, demand)
+            workers = self._place(unit, pool, now, demand, held)
         if workers is not None:
             self._plan(unit, workers)
             return True
@@ -211,16 +216,21 @@
         return True
 
     def _place(
-        self, unit: Unit, pool: Sequence[Candidate], now: float, demand: Demand
+        self,
+        unit: Unit,
+        pool: Sequence[Candidate],
+        now: float,
+        demand: Demand,
+        held: Collection[str],
     ) -> list[str] | None:
-        single = self._place_single(unit, pool, demand)
+        single = self._place_single(unit, pool, demand, held)
         if single is not None:
             return [single]
         if demand.run_time_s == ANY_WORKER_S:
             pool = [dataclasses.replace(c, backfill_window_s=math.inf) for c in pool]
         if unit.crashes:
             return self._placer.place_apart(unit, pool, now, demand)
-        avoided = self._limits.list_avoided(unit, pool)
+        avoided = self._limits.list_avoided(unit, pool).union(held)
         found = self._placer.place_within(unit, pool, demand, avoided)
         if found is None:
             limited = bool(avoided) or self._core.advice.covers(unit)
@@ -228,7 +238,11 @@
         return found
 
     def _place_single(
-        self, unit: Unit, pool: Sequence[Candidate], demand: Demand
+        self,
+        unit: Unit,
+        pool: Sequence[Candidate],
+        demand: Demand,
+        held: Collection[str],
     ) -> str | None:
         """Return the worker for a single task, or None if that is not quickly found."""
         if len(unit.indices) > 1 or unit.avoided or unit.crashes:
@@ -239,7 +253,7 @@
             self._filling = Filling(
                 unit, pool, taken, preference, run_time_s=run_time_s
             )
-        return self._filling.choose(unit, taken, run_time_s=run_time_s)
+        return self._filling.choose(unit, taken, run_time_s=run_time_s, held=held)
 
     def _plan(self, unit: Unit, workers: Sequence[str]) -> None:
         apart = is_suspect(unit)
--- a/src/firladder/_internal/evaluation/known_pairs.py
+++ b/src/firladder/_internal/evaluation/known_pairs.py
@@ -6,7 +6,7 @@
 
 import math
 import statistics
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from types import MappingProxyType
 
 from ..engine.core import Core
@@ -54,7 +54,7 @@
 class SlowFirstPlanner(Planner):
     """Gives lower-priority work the slow workers first, and urgent work the fast."""
 
-    strategy_names = StrategyNames(fit="fast_first")
+    strategy_names = StrategyNames(fit="fast_first", headroom="none")
 
     def __init__(self, core: Core, *, reclaim_s: float, restart_s: float) -> None:
         """Plan for ``core``."""
@@ -80,16 +80,25 @@
         return super().run_pass(now=now, wall=wall, may_continue=may_continue)
 
     def _place(
-        self, unit: Unit, pool: Sequence[Candidate], now: float, demand: Demand
+        self,
+        unit: Unit,
+        pool: Sequence[Candidate],
+        now: float,
+        demand: Demand,
+        held: Collection[str],
     ) -> list[str] | None:
         lower = unit.job.accepted.priority > 0
         for candidate in pool:
             ranks = self._ranks.get(candidate.worker_id)
             candidate.profile = UNKNOWN if ranks is None else ranks[lower]
-        return super()._place(unit, pool, now, demand)
+        return super()._place(unit, pool, now, demand, held)
 
     def _place_single(
-        self, unit: Unit, pool: Sequence[Candidate], demand: Demand
+        self,
+        unit: Unit,
+        pool: Sequence[Candidate],
+        demand: Demand,
+        held: Collection[str],
     ) -> str | None:
         return None
 
