Remember what did not fit beside the headroom

Lower work that was held back was not recorded among the shortages of a pass, so that each waiting unit looked through the pool again. A demand now says whether it is held back; it rules out larger ones that are held back too. Decisions are the same.

--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -158,6 +158,7 @@
         held: Collection[str] = ()
         if demand.run_time_s != ANY_WORKER_S:
             held = self._strategies.headroom.list_held(unit, demand.pool, pool)
+            demand = dataclasses.replace(demand, held_back=bool(held))
         workers = None
         if not self._shortages.rules_out(demand):
             workers = self._place(unit, pool, now, demand, held)
@@ -207,8 +208,8 @@
             pool = [dataclasses.replace(c, backfill_window_s=math.inf) for c in pool]
         if unit.crashes:
             return self._place_apart(unit, pool, now, demand)
-        avoided = self._limits.list_avoided(unit, pool).union(held)
-        found = self._place_within(unit, pool, demand, avoided)
+        avoided = self._limits.list_avoided(unit, pool)
+        found = self._place_within(unit, pool, demand, avoided.union(held))
         if found is None:
             self._shortages.record(demand, unit.step, has_exclusions=bool(avoided))
         return found
--- a/src/firladder/_internal/engine/shortages.py
+++ b/src/firladder/_internal/engine/shortages.py
@@ -14,7 +14,8 @@
     """What a unit needs from ``pool``: ``count`` times the resources ``need``.
 
     If ``one_rack``, all tasks must be on one rack. ``run_time_s`` must fit into the
-    backfill window of each worker.
+    backfill window of each worker. If ``held_back``, the workers that are kept free for
+    urgent arrivals may not be used.
     """
 
     pool: str
@@ -22,6 +23,7 @@
     count: int
     one_rack: bool
     run_time_s: float
+    held_back: bool = False
 
     def dominates(self, other: "Demand") -> bool:
         """Return whether any workers that satisfy this demand satisfy ``other`` too."""
@@ -30,6 +32,7 @@
             and self.run_time_s >= other.run_time_s
             and self.need.covers(other.need)
             and (self.one_rack or not other.one_rack)
+            and (self.held_back or not other.held_back)
         )
 
 
