--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -175,6 +175,7 @@
         held: Collection[str] = ()
         if demand.run_time_s != ANY_WORKER_S:
             held = self._strategies.headroom.list_held(unit, demand.pool, pool)
+            demand = dataclasses.replace(demand, held_back=bool(held))
         in_time = self._strategies.fit.list_in_time(unit, pool)
         workers = None
         if in_time is not None and not unit.crashes:
@@ -230,8 +231,8 @@
             pool = [dataclasses.replace(c, backfill_window_s=math.inf) for c in pool]
         if unit.crashes:
             return self._placer.place_apart(unit, pool, now, demand)
-        avoided = self._limits.list_avoided(unit, pool).union(held)
-        found = self._placer.place_within(unit, pool, demand, avoided)
+        avoided = self._limits.list_avoided(unit, pool)
+        found = self._placer.place_within(unit, pool, demand, avoided.union(held))
         if found is None:
             limited = bool(avoided) or self._core.advice.covers(unit)
             self._shortages.record(demand, unit.step, has_exclusions=limited)
