Part the orders that are due from the runs

No behaviour changes. Run: engine_runs, engine_gang_starts, engine_lost_orders, engine_advice, node_orders, all passed.

--- a/src/firladder/_internal/engine/losses.py
+++ b/src/firladder/_internal/engine/losses.py
@@ -11,7 +11,7 @@
     uses_up_crashes,
     weigh_crashes,
 )
-from .runs import Runs
+from .due_orders import DueOrders
 from .state import Crash, JobState, Placement, Unit, UnitState, Worker, find_unit
 
 MAX_NOTED_TASKS = 8
@@ -27,7 +27,7 @@
 are charged with its crash if its next incarnation shows by then."""
 
 
-class Losses(Runs):
+class Losses(DueOrders):
     """Ends the runs of lost workers, and charges crashes to the tasks there."""
 
     def lose_worker(self, worker_id: str, reason: str, *, now: float) -> None:
