--- a/src/firladder/_internal/engine/measuring.py
+++ b/src/firladder/_internal/engine/measuring.py
@@ -10,8 +10,8 @@
 has half of its run time to spare, which three standard deviations use up."""
 
 ENOUGH_PAIRS = 300
-"""Pairs of tasks after which a pool whose workers cannot be told apart is taken for one
-of equal workers, where there is nothing to measure."""
+"""Pairs of tasks after which a pool whose workers cannot be distinguished is taken for
+one of equal workers, where there is nothing to measure."""
 
 MAX_RUN_TIME_VARIANCE = 0.5
 """Variance of a task's log run time up to which half of it can be foreseen: within a
--- a/src/firladder/_internal/engine/profiles.py
+++ b/src/firladder/_internal/engine/profiles.py
@@ -32,7 +32,7 @@
 class Profiles:
     """The profiles of all workers.
 
-    On a pool whose workers cannot be told apart (see ``PoolSpread``), slowness is 1
+    On a pool whose workers cannot be distinguished (see ``PoolSpread``), slowness is 1
     unless a worker is slow just now, so that decisions there do not depend on chance.
     """
 
@@ -110,7 +110,7 @@
         """Return whether a worker's slowness is known to less than ``sd``.
 
         After ``enough_pairs`` pairs of tasks, no worker is uncertain in a pool whose
-        workers cannot be told apart.
+        workers cannot be distinguished.
         """
         machine = self.machines.obtain(worker_id, pool)
         if not machine.pool.distinct and machine.pool.pairs >= enough_pairs:
--- a/src/firladder/_internal/evaluation/day_jobs.py
+++ b/src/firladder/_internal/evaluation/day_jobs.py
@@ -28,7 +28,7 @@
 MAX_WEIGHT = 4.0
 """A weight is a base plus a part that grows with the job's work, up to a bound."""
 
-SWING_PERIOD_S = 13.0
+VARIATION_PERIOD_S = 13.0
 """Period of the variation of the arrival rate, in seconds."""
 
 DAY_S = 30.0
@@ -152,7 +152,7 @@
             rng,
             kind.arrivals_per_s * rate_factor,
             burst_factor if kind is urgent else 1,
-            deployment.rate_swing,
+            deployment.rate_variation,
         )
     ]
     total = sum(entry.capacity.accelerators for entry in entries)
@@ -176,17 +176,17 @@
 
 
 def _draw_times(
-    rng: random.Random, arrivals_per_s: float, burst_factor: float, swing: float
+    rng: random.Random, arrivals_per_s: float, burst_factor: float, variation: float
 ) -> Iterator[float]:
     at = 0.0
     while True:
-        factor = (burst_factor if at < BURST_S else 1.0) * (1 + swing)
+        factor = (burst_factor if at < BURST_S else 1.0) * (1 + variation)
         at += rng.expovariate(arrivals_per_s * factor)
         if at >= DAY_S:
             return
         # Arrivals are drawn at the highest rate, and kept in proportion to the rate.
-        rate = 1 + swing * math.sin(2 * math.pi * at / SWING_PERIOD_S)
-        if not swing or rng.random() * (1 + swing) < rate:
+        rate = 1 + variation * math.sin(2 * math.pi * at / VARIATION_PERIOD_S)
+        if not variation or rng.random() * (1 + variation) < rate:
             yield at
 
 
--- a/src/firladder/_internal/evaluation/day_kinds.py
+++ b/src/firladder/_internal/evaluation/day_kinds.py
@@ -179,7 +179,7 @@
     Each worker draws its factor on the run time of tasks from ``slowdowns``. With
     ``weight_by_work`` a job's worth grows with its work. ``organisation_weights`` are
     the organisations' shares of the load, equal if there are none. The arrival rate
-    varies by ``rate_swing`` of its mean, as a sine of the time. Workers without
+    varies by ``rate_variation`` of its mean, as a sine of the time. Workers without
     addresses (``has_addresses``) all seem to restart at the same one; the first days
     keep that, so that their figures remain comparable.
     """
@@ -192,7 +192,7 @@
     slowdowns: tuple[float, ...] = (1.0,)
     weight_by_work: bool = False
     organisation_weights: tuple[float, ...] = ()
-    rate_swing: float = 0.0
+    rate_variation: float = 0.0
     has_addresses: bool = False
 
 
@@ -271,5 +271,5 @@
     has_addresses=True,
     # Three of the ten have half of the load.
     organisation_weights=(7.0,) * 3 + (3.0,) * 7,
-    rate_swing=0.55,
+    rate_variation=0.55,
 )
