--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A runner fails everything that it runs, more than a dozen tasks at once."""
+"""A runner fails everything that it runs, two dozen tasks at once."""
 
 import sys
 import time
