--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -4,6 +4,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -164,8 +165,15 @@
             for event in self.read_events():
                 rest = {k: v for k, v in event.items() if k not in ("at", "what")}
                 lines.append(f"{event['at']:8.3f}  {event['what']}  {json.dumps(rest)}")
+        lines += ["", "Errors in the logs of the nodes:", *self._list_errors()]
         self._record_path.write_text("\n".join(lines) + "\n")
 
+    def _list_errors(self):
+        for log in sorted(self.directory.glob("node-*.log")):
+            for line in log.read_text(errors="replace").splitlines():
+                if '"level": "error"' in line:
+                    yield f"{log.stem}: {line[:2000]}"
+
     # -- processes -----------------------------------------------------------------
 
     def start(self):
@@ -391,5 +399,6 @@
     finally:
         site.stop()
         site.write_record(verdict)
+        shutil.rmtree(site.directory, ignore_errors=True)
         print(verdict)
     sys.exit(status)
