--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,8 +12,8 @@
 
 QUEUE, ATTEMPTS = "log-ingest", 3
 ZONES = ["bern-halle", "olten-halle", "aarau-halle"]
-RUNNERS, IN_ZONE = 36, 12
-JOBS = [f"00000000000000d{n}" for n in range(8)]
+RUNNERS, IN_ZONE = 60, 20
+JOBS = [f"00000000000000d{n:x}" for n in range(12)]
 BOUNDS = {
     "contact_ms": 4000,
     "ack_ms": 6000,
