--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -63,21 +63,23 @@
     """The case cannot run on this machine."""
 
 
-def find_ports(count):
-    """Return the first of ``count`` ports that are free on all loopback addresses."""
+def is_free(host, port):
+    """Return whether nothing listens on a port."""
+    with socket.socket() as probe:
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
+def find_ports(count, hosts):
+    """Return the first of ``count`` ports that are free on all ``hosts``."""
     for _ in range(200):
         first = random.randrange(20000, 32000)
-        held = []
-        try:
-            for port in range(first, first + count):
-                held.append(socket.socket())
-                held[-1].bind(("0.0.0.0", port))
+        ports = range(first, first + count)
+        if all(is_free(host, port) for host in hosts for port in ports):
             return first
-        except OSError:
-            continue
-        finally:
-            for sock in held:
-                sock.close()
     raise CaseError("no free ports")
 
 
@@ -118,7 +120,9 @@
         self._began_at = time.monotonic()
         self._lines = []
         self._children = []
-        first = find_ports(12 + runners)
+        hosts = ["127.0.31.1", *(f"127.0.{33 + n}.1" for n in range(nodes))]
+        hosts += [f"127.0.32.{n + 1}" for n in range(runners)]
+        first = find_ports(12 + runners, hosts)
         self.peer_port, self.front, self.ready = first, first + 8, first + 9
         self.store = f"127.0.31.1:{first + 10}"
         self.control_address = f"127.0.31.1:{first + 11}"
