Bound the probability that a worker is broken

Callers of a job whose worker failed 24 of its tasks at one moment heard "running" for ever: nine tasks were not started again, and the worker was polled no more.

Cause: each failure multiplies the odds that the worker is broken by up to 19. Some fifteen failures at the same moment round the probability to 1, and the next one divides by zero in record_failed_run. The exception ends the session of the worker in the middle of its report, or the leader's tick if the tasks stand still instead of failing.

Ruled out: ends lost on their way, and tasks that wait for another worker.

The probability is now at most 0.99, from which the next failure can be computed and doubt fades as before.

--- a/features/engine_profiles.feature
+++ b/features/engine_profiles.feature
@@ -76,6 +76,18 @@
     When the tasks of 2 jobs stand still on worker 4
     Then worker 4 is doubted by more than 0.8
 
+  Scenario Outline: Two dozen tasks that <fate> on a worker at once all run again
+    The doubt about the worker was rounded to certainty, and the next failure divided by
+    zero: the other tasks were never started again.
+    Given a job of 24 tasks that all run on one worker, and another that is free
+    When all of them <fate> at the same moment
+    Then all of them start again on the free worker
+
+    Examples:
+      | fate        |
+      | fail        |
+      | stand still |
+
   Scenario: A machine keeps its profile when its worker restarts
     Given 30 workers that take 0.6, 1.0 and 1.6 times as long, and seed 2
     And they have run usual work for 20 s
--- a/features/steps/engine_profiles_steps.py
+++ b/features/steps/engine_profiles_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from features.support.engine_world import make_job, make_step
+from features.support.engine_world import EngineWorld, make_entry, make_job, make_step
 from features.support.uneven_world import KINDS, UnevenWorld
 from firladder._internal.engine.health import STALL_TIMEOUT_S
 from firladder._internal.engine.planning import Planner
@@ -13,8 +13,8 @@
 from firladder._internal.evaluation.day_driver import DayDriver
 from firladder._internal.evaluation.day_jobs import make_day
 from firladder._internal.evaluation.day_kinds import UNEVEN_POOL
-from firladder._internal.models.order import RunningTask
-from firladder._internal.models.workload import Resources
+from firladder._internal.models.order import EndedTask, RunningTask
+from firladder._internal.models.workload import Resources, Step
 
 
 @given(
@@ -153,6 +153,49 @@
     engine.core.abort_stalled_runs(engine.now)
 
 
+@given("a job of {count:d} tasks that all run on one worker, and another that is free")
+def fill_one_worker(context, count):
+    context.engine = engine = EngineWorld(1)
+    step = Step(count=count, need=Resources(1000, 512, 0), estimate_s=5.0)
+    engine.submit(make_job("wide", step, at=engine.now))
+    context.placements = engine.start_all()
+    engine.accept(context.placements)
+    engine.claim(engine.core.register_worker(make_entry(1), now=engine.now))
+    assert len(context.placements) == count
+
+
+def end_all(context, how):
+    ends = [
+        EndedTask(number, p.task, p.run, how, "")
+        for number, p in enumerate(context.placements, start=1)
+    ]
+    context.engine.now += 0.1
+    context.engine.report(context.engine.core.workers["w0"], ended=ends)
+
+
+@when("all of them fail at the same moment")
+def fail_at_once(context):
+    end_all(context, "failed")
+
+
+@when("all of them stand still at the same moment")
+def stall_at_once(context):
+    engine = context.engine
+    rows = [RunningTask(p.task, p.run, "", 5) for p in context.placements]
+    engine.report(engine.core.workers["w0"], rows)
+    engine.now += STALL_TIMEOUT_S + 0.1
+    engine.core.abort_stalled_runs(engine.now)
+    assert len(engine.core.take_stops(engine.now)) == len(rows)
+    end_all(context, "stopped")
+
+
+@then("all of them start again on the free worker")
+def check_started_again(context):
+    again = [(p.task, p.worker_id) for p in context.engine.start_all()]
+    expected = [(p.task, "w1") for p in context.placements]
+    assert sorted(again, key=str) == sorted(expected, key=str), again
+
+
 @when("a task ends well on worker {number:d}")
 def end_well(context, number):
     placement = start_on(context.world, f"w{number}", "good")
--- a/src/firladder/_internal/engine/doubts.py
+++ b/src/firladder/_internal/engine/doubts.py
@@ -21,6 +21,10 @@
 BROKEN_FAILED_SHARE = 0.95
 """Share of its runs that a broken worker fails."""
 
+MAX_BROKEN = 0.99
+"""Highest probability that a worker counts as broken. A dozen failures at the same
+moment would round it to 1, and the odds of certainty are infinite."""
+
 MEMORY_S = 6.0
 """Seconds in which doubt falls to a third without news: workers that fail everything do
 so for some six seconds."""
@@ -40,7 +44,7 @@
     own_fault = max(compute_failed_share(pool), failures / (failures + 1))
     prior = max(BROKEN_SHARE, _decay(machine, now))
     odds = prior / (1 - prior) * BROKEN_FAILED_SHARE / own_fault
-    machine.broken = odds / (1 + odds)
+    machine.broken = min(MAX_BROKEN, odds / (1 + odds))
     machine.broken_at = now
     machine.failures += 1
     pool.runs += 1
