Charge no task with the loss of a worker that may have been gone before its start

Callers whose jobs came while a failure domain had no power for 1.5 s were shown "failed" within a second, although the only task of the job had never begun.

Cause: an idle worker is not polled, so that a start is the first call that gets no answer. Such a placement counted as a task that had begun just before the crash, the only one there: both signs of a task that crashes its workers. The next start went to another worker without power, and two such crashes end a job.

Ruled out: that a reset connection tells a restarted worker from one that a task has crashed (the traces show "closed cleanly"); charging without signs (a job may meet four workers without power in one loss of a domain).

A start without an answer is charged only if its worker had answered a call within 0.2 s before it, or later. Otherwise the loss is recorded as unproven, and later starts of the unit are preceded by a poll: a worker without power gets no further start of it, and a task that crashes its workers before they answer is charged from the second start on.

A scenario on charges took an unanswered start for sent without recording when; it records that now, and checks in addition that its charges are proved.

--- a/features/engine_crashes.feature
+++ b/features/engine_crashes.feature
@@ -19,12 +19,30 @@
       | the worker has crashed idle              | 0.5     | crashes                        | yes  | yes    | yes      |
       | the worker has crashed once under "b"    | 0.5     | crashes                        | yes  | yes    | no       |
       | the worker has crashed twice without "a" | 0.5     | crashes                        | yes  | yes    | yes      |
+      | the worker has crashed under no answer   | 0.5     | crashes                        | yes  | yes    | yes      |
       | the worker has drained and come back     | 0.5     | crashes                        | yes  | yes    | no       |
       | the crash comes before the answer        | 0       | crashes                        | yes  | yes    | no       |
       | nothing else                             | 0.5     | closes and crashes later       | yes  | no     | no       |
       | nothing else                             | 0.5     | is replaced with one poll lost | yes  | no     | no       |
       | nothing else                             | 0.5     | crashes as it begins to drain  | yes  | yes    | no       |
 
+  Scenario Outline: A start without an answer counts if its worker is known to be up
+    Guards against giving up a job whose starts went to workers that were gone already.
+    Given the crash comes before the answer
+    When "a" starts there <seconds> s after the worker's last answer, and it crashes
+    Then the crash of "a" is <weight>
+
+    Examples:
+      | seconds | weight                 |
+      | 0.1     | charged with two signs |
+      | 0.5     | not proved             |
+
+  Scenario: Losses that are not proved do not add up
+    Guards against giving up a job whose starts went to workers that were gone already.
+    Given the crash comes before the answer
+    When "a" starts there 0.5 s after the worker's last answer, and it crashes, 6 times
+    Then the job is shown as "queued"
+
   Scenario Outline: A loss that is no crash is charged to nobody
     Guards against counting workers that leave, are cut off, or never began the task.
     Given <before>
--- a/features/node_crashing_tasks.feature
+++ b/features/node_crashing_tasks.feature
@@ -89,6 +89,12 @@
     When 24 such jobs come 0.7 s apart, while 3 workers are 0.8 s up and 0.8 s down in turn
     Then each sound job is done
 
+  Scenario: Sound jobs that come while workers have no power are done
+    Guards against giving up jobs that never began, as their starts went to such workers.
+    Given 24 workers, and a sound job of 3 s
+    When the workers are without power for 0.4 to 1.4 s, and 12 such jobs come meanwhile
+    Then each sound job is done
+
   Scenario: No crash is missed, nor charged to a sound job, in faults drawn at random
     Guards against more starts than allowed, or a sound job given up, by other events.
     When 8 plays of 24 jobs, of which 3 crash their workers, are drawn from seed 300 on
--- a/features/steps/engine_crashes_steps.py
+++ b/features/steps/engine_crashes_steps.py
@@ -125,7 +125,24 @@
     world.come_back()
 
 
+def send_start(world, name, *, unanswered):
+    world.start_all()
+    placement = world.find_placement(name)
+    world.core.record_start_sent(placement, world.now)
+    placement.may_start_late = unanswered
+
+
+def crash_unanswered(world):
+    """Crash a worker whose last answer was long before a start, as if it were idle."""
+    world.submit_task("c")
+    world.now += JUST_BEGUN_S
+    send_start(world, "c", unanswered=True)
+    world.crash()
+    world.core.cancel_job("c")
+
+
 BEFORE = {
+    "the worker has crashed under no answer": crash_unanswered,
     'job "b" runs there too': run_other,
     'job "b" was stopped there, unproved': stop_other,
     "the worker has crashed idle": crash_idle,
@@ -223,8 +240,7 @@
     world, before = context.world, context.before
     world.submit_task("a")
     if before in (ON_THE_WAY, UNANSWERED):
-        world.start_all()
-        world.find_placement("a").may_start_late = before == UNANSWERED
+        send_start(world, "a", unanswered=before == UNANSWERED)
     else:
         world.start("a")
     if before == PLANNED:
@@ -235,9 +251,37 @@
     LOSSES[goes](world)
 
 
+@when('"a" starts there {seconds:g} s after the worker\'s last answer, and it crashes')
+@when(
+    '"a" starts there {seconds:g} s after the worker\'s last answer, and it crashes,'
+    " {times:d} times"
+)
+def lose_unanswered(context, seconds, times=1):
+    world = context.world
+    world.submit_task("a")
+    context.unit = world.find_unit("a")
+    for _ in range(times):
+        world.now += seconds
+        send_start(world, "a", unanswered=True)
+        world.crash()
+
+
+@then('the crash of "a" is charged with two signs')
+def check_two_signs(context):
+    assert [c.signs for c in context.unit.crashes] == [2], context.unit.crashes
+
+
+@then('the crash of "a" is not proved')
+def check_unproven(context):
+    found = [(c.unproven, c.signs) for c in context.unit.crashes]
+    assert found == [(True, 0)], context.unit.crashes
+    assert not context.unit.charged
+
+
 @then('a crash is charged to "a", sole {sole}, prompt {prompt}, unstable {unstable}')
 def check_charged(context, sole, prompt, unstable):
     found = [(c.sole, c.prompt, c.unstable) for c in context.unit.crashes]
+    assert not any(c.unproven for c in context.unit.crashes), context.unit.crashes
     assert found == [(sole == "yes", prompt == "yes", unstable == "yes")], found
 
 
--- a/features/steps/node_crashing_task_steps.py
+++ b/features/steps/node_crashing_task_steps.py
@@ -289,6 +289,29 @@
     context.play.play(script, seconds=150.0)
 
 
+async def lose_power(play, number, seconds):
+    """Let a machine answer nothing, without closing its connections, then restart."""
+    until = play.now + seconds
+    play.faults.append(Fault("any", number, Fate.LOST, until=until))
+    await play.restart_machine(number, down_s=seconds)
+
+
+@when(
+    "the workers are without power for {least:f} to {most:f} s, and {count:d} such jobs"
+    " come meanwhile"
+)
+def submit_without_power(context, least, most, count):
+    async def script(play):
+        await asyncio.sleep(3.0)
+        for machine in play.machines:
+            seconds = play.rng.uniform(least, most)
+            play.spawn(lose_power(play, machine.number, seconds))
+        for number in range(count):
+            play.submit(f"{SOUND}-{number}", count=1, gang=False)
+
+    context.play.play(script, seconds=60.0)
+
+
 @when(
     "{plays:d} plays of 24 jobs, of which 3 crash their workers, are drawn from seed"
     " {seed:d} on"
--- a/src/firladder/_internal/engine/answers.py
+++ b/src/firladder/_internal/engine/answers.py
@@ -35,6 +35,7 @@
         if worker is None or placement.key not in worker.placements:
             return
         if isinstance(answer, float):
+            worker.answered_at = now
             placement.reported = True
             if placement.last_answer_at == math.inf:
                 placement.last_answer_at = now
@@ -98,13 +99,11 @@
         worker = self.workers.get(placement.worker_id)
         if worker is None:
             return
-        if isinstance(answer, float):
+        if isinstance(answer, float | OrderRejected):
+            worker.answered_at = now
             placement.stop_answered = True
             placement.last_answer_at = now
         elif isinstance(answer, WorkerReplaced):
             self.lose_worker(worker.worker_id, answer.reason, now=now)
-        elif isinstance(answer, OrderRejected):
-            placement.stop_answered = True
-            placement.last_answer_at = now
         else:
             self.record_no_answer(worker, answer, now)
--- a/src/firladder/_internal/engine/due_orders.py
+++ b/src/firladder/_internal/engine/due_orders.py
@@ -39,6 +39,7 @@
 
     def record_start_sent(self, placement: Placement, now: float) -> None:
         """Record that a start is sent: from now on its unit's members may wait."""
+        placement.sent_at = now
         unit = placement.unit
         if unit is not None and unit.first_start_at is None:
             unit.first_start_at = now
--- a/src/firladder/_internal/engine/isolation.py
+++ b/src/firladder/_internal/engine/isolation.py
@@ -36,7 +36,7 @@
 
 def _may_crash(placement: Placement, now: float) -> bool:
     unit = placement.unit
-    if unit is None or not unit.crashes or placement.phase is Phase.STOPPING:
+    if unit is None or not unit.charged or placement.phase is Phase.STOPPING:
         return False
     if not is_suspect(unit):
         return False
--- a/src/firladder/_internal/engine/losses.py
+++ b/src/firladder/_internal/engine/losses.py
@@ -7,6 +7,7 @@
     clear_crash,
     is_late,
     is_prompt,
+    is_unproven,
     may_be_charged,
     uses_up_crashes,
     weigh_crashes,
@@ -136,7 +137,9 @@
             for job_id in jobs
             if self.restarts.is_unstable(address, now, without=job_id)
         }
-        self.restarts.record(address, jobs, now)
+        # A worker on which none may have begun was idle, as far as is known.
+        proven = {p.task.job_id for p in ran if not is_unproven(p, worker)}
+        self.restarts.record(address, proven, now)
         charged: dict[int, Unit] = {}
         for placement in ran:
             unit = self._find_unit_of(placement)
@@ -150,6 +153,7 @@
                 prompt=is_prompt(placement, unit, crashed_at),
                 late=is_late(placement, unit),
                 unstable=placement.task.job_id in unstable,
+                unproven=is_unproven(placement, worker),
             )
             if may_be_charged(unit, crash):
                 self._record_crash(unit, crash)
@@ -179,6 +183,7 @@
             prompt=crash.prompt,
             late=crash.late,
             unstable=crash.unstable,
+            unproven=crash.unproven,
             crashes=sum(c.index == crash.index for c in unit.crashes),
         )
 
--- a/src/firladder/_internal/engine/moves.py
+++ b/src/firladder/_internal/engine/moves.py
@@ -226,7 +226,7 @@
 
 
 def _may_move(unit: Unit) -> bool:
-    return unit.state is UnitState.BUSY and unit.all_active and not unit.crashes
+    return unit.state is UnitState.BUSY and unit.all_active and not unit.charged
 
 
 def _is_in_flight(unit: Unit, run: int) -> bool:
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -178,7 +178,7 @@
             demand = dataclasses.replace(demand, held_back=bool(held))
         in_time = self._strategies.fit.list_in_time(unit, pool)
         workers = None
-        if in_time is not None and not unit.crashes:
+        if in_time is not None and not unit.charged:
             avoided = self._limits.list_avoided(unit, in_time)
             workers = self._placer.place_within(unit, in_time, demand, avoided)
             if workers is None and self._preempt_for(unit, in_time, now, wanted=True):
@@ -188,7 +188,7 @@
         if workers is not None:
             self._plan(unit, workers)
             return True
-        if not (unit.avoided or unit.crashes):
+        if not (unit.avoided or unit.charged):
             # Otherwise the unit may wait for a worker that only it avoids.
             self._blocked.add(name_step(unit))
         if not awaits_isolation(unit, now) and not self._preempt_for(unit, pool, now):
@@ -229,7 +229,7 @@
             return [single]
         if demand.run_time_s == ANY_WORKER_S:
             pool = [dataclasses.replace(c, backfill_window_s=math.inf) for c in pool]
-        if unit.crashes:
+        if unit.charged:
             return self._placer.place_apart(unit, pool, now, demand)
         avoided = self._limits.list_avoided(unit, pool)
         found = self._placer.place_within(unit, pool, demand, avoided.union(held))
@@ -246,7 +246,7 @@
         held: Collection[str],
     ) -> str | None:
         """Return the worker for a single task, or None if that is not quickly found."""
-        if len(unit.indices) > 1 or unit.avoided or unit.crashes:
+        if len(unit.indices) > 1 or unit.avoided or unit.charged:
             return None
         taken, run_time_s = count_taken(unit), demand.run_time_s
         if self._filling is None or self._filling.step_key != name_step(unit):
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -104,6 +104,7 @@
     ) -> None:
         """Apply a worker's report on its runs, polled at ``sent_at``."""
         self._mark_reachable(worker)
+        worker.answered_at = now
         worker.claimed = True
         worker.clock_offset_s = report.clock_s - now
         for end in report.ended:
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -60,7 +60,8 @@
 
     ``sole``: no other job ran there; ``prompt``: the task had only just begun;
     ``late``: the worker had listed it when it had run for longer; ``unstable``: the
-    worker crashes by itself; ``cleared``: another job was given up as the cause.
+    worker crashes by itself; ``cleared``: another job was given up as the cause;
+    ``unproven``: the worker may have been gone before the start reached it.
     """
 
     run: int
@@ -71,11 +72,12 @@
     late: bool
     unstable: bool
     cleared: bool = False
+    unproven: bool = False
 
     @property
     def explained(self) -> bool:
         """Return whether something else may have caused the crash."""
-        return self.unstable or self.cleared
+        return self.unstable or self.cleared or self.unproven
 
     @property
     def signs(self) -> int:
@@ -98,6 +100,7 @@
     ``reported`` says that the worker has listed the run as running, so it will list
     its end too. ``may_start_late`` says that one copy of its start order got no
     answer, so the answer to another copy cannot prove that the task will not start.
+    ``sent_at`` is when the first copy was sent.
 
     ``recovered`` says that it comes from the record of a former leader.
     ``listed_at`` is when the worker last listed it as running.
@@ -124,6 +127,7 @@
     stop_answered: bool = False
     reported: bool = False
     may_start_late: bool = False
+    sent_at: float = math.inf
     recovered: bool = False
     listed_at: float = -math.inf
 
@@ -200,6 +204,11 @@
         """Return how many runs have failed."""
         return len(self.failed_runs)
 
+    @property
+    def charged(self) -> bool:
+        """Return whether a worker has crashed on which the unit may have begun."""
+        return any(not crash.unproven for crash in self.crashes)
+
     @property
     def all_active(self) -> bool:
         """Return whether all tasks of the unit are active."""
@@ -320,10 +329,11 @@
     ``renewed_until`` is when the newest answered lease expires, without the margin for
     clock drift and delays. ``clock_offset_s`` is the worker's clock minus the
     leader's. ``closed_at`` is when an unreachable worker first closed or refused a
-    connection, or None. ``exempt`` says that it was silent for long before that, or
-    that the former leader had an explanation for its loss. ``drain_noticed`` says that
-    this leader saw it begin to drain. ``lapsed`` has the runs that ended when its
-    leases expired; it is kept until ``lapsed_until``.
+    connection, or None. ``answered_at`` is when it last answered a call. ``exempt``
+    says that it was silent for long before it closed one, or that the former leader had
+    an explanation for its loss. ``drain_noticed`` says that this leader saw it begin to
+    drain. ``lapsed`` has the runs that ended when its leases expired; it is kept until
+    ``lapsed_until``.
     """
 
     entry: WorkerEntry
@@ -332,6 +342,7 @@
     reachable: bool = True
     unreachable_at: float = 0.0
     closed_at: float | None = None
+    answered_at: float = -math.inf
     exempt: bool = False
     drain_noticed: bool = False
     lapsed: list[Placement] = dataclasses.field(default_factory=list)
--- a/src/firladder/_internal/node/order_sender.py
+++ b/src/firladder/_internal/node/order_sender.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from ..engine import leases
+from ..engine.crashes import has_answered_lately
 from ..engine.state import Phase, Placement, Worker
 from ..exceptions import (
     FencedOff,
@@ -62,17 +63,20 @@
         worker: Worker,
         *,
         poll_now: Callable[[], Awaitable[None]],
+        confirm_worker: Callable[[], Awaitable[bool]],
         wake_session: Callable[[], None],
     ) -> None:
         """Send orders to ``worker`` on behalf of the term ``context``.
 
-        ``poll_now`` polls the worker if that may free capacity; ``wake_session`` is
+        ``poll_now`` polls the worker if that may free capacity; ``confirm_worker``
+        polls it in any case and returns whether it has answered; ``wake_session`` is
         called after each order.
         """
         self._context = context
         self._core = context.core
         self._worker = worker
         self._poll_now = poll_now
+        self._confirm_worker = confirm_worker
         self._wake_session = wake_session
         self._answers = AnswerTimer(context, name=f"order-{worker.worker_id}")
         self._orders = OrderQueue(context.order_window.numbers)
@@ -202,6 +206,7 @@
     async def _start(self, order: Order) -> None:
         worker, context, placement = self._worker, self._context, order.placement
         await self._await_reachable()
+        await self._await_confirmation(placement)
         self._orders.mark_start_sent(order)
         if placement.unit is not None:
             now = context.clock.read_monotonic()
@@ -264,6 +269,17 @@
             event.cancel()
             self._context.durability_waiters.discard(self)
 
+    async def _await_confirmation(self, placement: Placement) -> None:
+        """Poll the worker first if an earlier one was lost before the start's answer.
+
+        If this one is lost as well, the answer shows whether the task may be the cause.
+        """
+        worker, unit = self._worker, placement.unit
+        if unit is None or not unit.crashes or not worker.may_send_lease:
+            return
+        if not has_answered_lately(worker, self._context.clock.read_monotonic()):
+            await self._confirm_worker()
+
     async def _send_start(
         self, order: Order, deadline_s: float
     ) -> float | OrderFailure:
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 from typing import TypeVar
 
@@ -76,7 +77,11 @@
         self._wake = asyncio.Event()
         self._answers = AnswerTimer(context, name=f"poll-{worker.worker_id}")
         self._sender = OrderSender(
-            context, worker, poll_now=self._poll_without_wait, wake_session=self.wake
+            context,
+            worker,
+            poll_now=self._poll_without_wait,
+            confirm_worker=functools.partial(self._poll, may_wait=False),
+            wake_session=self.wake,
         )
         self._waiting_poll_open = False
         self._idle = False
