Take no run for absent while a worker has more ends than its report lists

Callers of a job of 700 small tasks saw 200 tasks that were done run a second time, after the store had been down for 4.5 s while they ended.

Cause: a worker lists 500 ends at most, and the others once these are acknowledged, which takes durable records. A run in neither list of a report counted as absent. The leader stopped it, and the next report, with the same 500 ends, proved that it had never ended; a successor needed one report.

Ruled out: a lapsed lease, and ends that were acknowledged before they were durable.

Such a report is marked as not complete where it is decoded. A run that it does not list stays as it is, and no run counts as standing still on that worker, until a complete report comes. The stand-in of the workers lists 500 ends at a time as well.

--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -63,12 +63,13 @@
     def abort_stalled_runs(self, now: float) -> None:
         """Abort stalled runs, so that their units run again on other workers."""
         for worker in list(self.workers.values()):
+            # Runs whose ends are not listed yet show no progress.
+            if not (worker.reachable and worker.ends_complete):
+                continue
             for placement in list(worker.placements.values()):
                 unit = placement.unit
                 if unit is None or placement.phase is not Phase.ACTIVE:
                     continue
-                if not worker.reachable:
-                    continue
                 if not is_stalled(placement, now, longer_than=STALL_TIMEOUT_S):
                     continue
                 if unit.step.lasting or not unit.all_active:
@@ -106,6 +107,7 @@
         self._mark_reachable(worker)
         worker.answered_at = now
         worker.claimed = True
+        worker.ends_complete = report.complete
         worker.clock_offset_s = report.clock_s - now
         for end in report.ended:
             if end.number > worker.last_end_read:
@@ -117,6 +119,9 @@
             if placement is None:
                 placement = self._adopt_orphan(worker, row.task, row.run)
             self._read_running(placement, row.checkpoint, row.percent, now)
+        if not report.complete:
+            # A run that is in neither list may have ended as done.
+            return
         for placement in list(worker.placements.values()):
             if (
                 placement.key not in reported_runs
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -333,7 +333,8 @@
     says that it was silent for long before it closed one, or that the former leader had
     an explanation for its loss. ``drain_noticed`` says that this leader saw it begin to
     drain. ``lapsed`` has the runs that ended when its leases expired; it is kept until
-    ``lapsed_until``.
+    ``lapsed_until``. ``ends_complete`` says that its newest report listed all ends that
+    are not acknowledged.
     """
 
     entry: WorkerEntry
@@ -355,6 +356,7 @@
     clock_offset_s: float | None = None
     last_end_read: int = 0
     last_end_acknowledged: int = 0
+    ends_complete: bool = True
     unacknowledged_ends: list[tuple[int, "Job | None", int]] = dataclasses.field(
         default_factory=list
     )
--- a/src/firladder/_internal/models/order.py
+++ b/src/firladder/_internal/models/order.py
@@ -48,12 +48,14 @@
 class WorkerReport:
     """The running tasks of a worker, and the ends not yet acknowledged to it.
 
-    ``clock_s`` is the worker's monotonic clock.
+    ``clock_s`` is the worker's monotonic clock. If the report is not ``complete``, more
+    ends are listed once some of these are acknowledged.
     """
 
     clock_s: float
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    complete: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/firladder/_internal/platform/workers.py
+++ b/src/firladder/_internal/platform/workers.py
@@ -31,6 +31,10 @@
 MAX_WAIT_S = 2.0
 """Time that a worker waits at most for a run to end before it answers a poll."""
 
+MAX_ENDS_LISTED = 500
+"""Ended runs that a worker lists at most; further ones follow once these are
+acknowledged."""
+
 _REJECTIONS: dict[str, Rejection] = {
     "fence": "fenced",
     "old": "superseded",
@@ -150,6 +154,7 @@
                 wire.clock_ms / 1000,
                 tuple(filter(None, map(_convert_running, wire.running))),
                 tuple(filter(None, map(_convert_ended, wire.ended))),
+                complete=len(wire.ended) < MAX_ENDS_LISTED,
             )
         except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
             logger.warning("worker %s: cannot decode report: %s", worker_id, error)
--- a/standins/platform_workers.py
+++ b/standins/platform_workers.py
@@ -30,6 +30,9 @@
 
 HEARTBEAT_S = 1.0
 
+MAX_ENDS_LISTED = 500
+"""Ended runs in one answer to a poll."""
+
 ACCELERATORS = 8
 
 SLOW_CLOCK_RATE = 0.98
@@ -358,7 +361,7 @@
     running = [
         [r.task, r.run, "", _compute_percent_done(r, now)] for r in worker.runs.values()
     ]
-    return worker.reply(running=running, ended=worker.ended)
+    return worker.reply(running=running, ended=worker.ended[:MAX_ENDS_LISTED])
 
 
 def _compute_percent_done(run: Run, now: float) -> int:
