End the state of a worker when it starts again under its id

Callers of a job that came after a worker had restarted under its id saw the tasks there run a second time after they were done.

Cause: what is known of a worker was kept by its id, and "born", which tells its incarnations apart, was not read. The new incarnation numbers its ends anew, so that those with lower numbers were skipped as read and acknowledged; their runs then looked absent. Evidence: the first poll that returns ends 1 to 10 acknowledges end 10 already.

An incarnation is now the id and "born". A later one, shown by its entry, by an answer or by the first report to a successor, ends the state of the former one like a loss. Calls that were meant for the former incarnation are carried out by the next one, so that a start which no report has listed, or a copy of which got no answer, is stopped there before its task is planned again, and late leases are kept. Late answers of the former one change nothing.

Ruled out: an id that contains "born" (records of running jobs would name workers that an older build cannot reach, and it would take them for gone).

--- a/features/steps/engine_unlisted_ends_steps.py
+++ b/features/steps/engine_unlisted_ends_steps.py
@@ -1,51 +1,18 @@
-import asyncio
-import json
-
 from behave import given, then, when
 
 from features.support.engine_world import EngineWorld, make_job
+from features.support.listing_worker import ListingWorker
 from firladder._internal.engine.state import JobState
 from firladder._internal.models.workload import Resources, Step
-from firladder._internal.network.http_client import HttpResponse
-from firladder._internal.platform.workers import WorkerCalls, format_task
 
-ENDS_IN_ANSWER = 500
 POLL_EVERY_S = 0.25
 
 
-class ListingWorker:
-    """A worker that has ended runs; it answers polls as the platform's workers do."""
-
-    def __init__(self, placements) -> None:
-        self.ends = [
-            [number, format_task(p.task), p.run, "done", ""]
-            for number, p in enumerate(placements, start=1)
-        ]
-
-    async def call(self, _method, _url, *, body, **_) -> HttpResponse:
-        last_seen = json.loads(body)["last_seen"]
-        self.ends = [end for end in self.ends if end[0] > last_seen]
-        reply = {"clock_ms": 0, "running": [], "ended": self.ends[:ENDS_IN_ANSWER]}
-        return HttpResponse(200, {}, json.dumps(reply).encode())
-
-
 def poll(context):
     """Poll the worker as its session does, and apply its report."""
     engine = context.engine
     worker = engine.core.workers["w0"]
-    acknowledged = worker.find_last_durable_end()
-    calls = WorkerCalls(http=context.worker, token=1)
-    report = asyncio.run(
-        calls.poll(
-            "w0",
-            worker.entry.address,
-            acknowledged=acknowledged,
-            deadline_s=None,
-            wait_s=0.0,
-            send_within_s=1.0,
-            timeout_s=1.0,
-        )
-    )
+    report, acknowledged = context.worker.answer_poll(worker)
     worker.drop_acknowledged_ends(acknowledged)
     engine.core.handle_report(worker, report, sent_at=engine.now, now=engine.now)
 
@@ -60,7 +27,9 @@
     context.placements = engine.start_all()
     assert len(context.placements) == count
     engine.accept(context.placements)
-    context.worker = ListingWorker(context.placements)
+    context.worker = ListingWorker()
+    for placement in context.placements:
+        context.worker.end(placement)
     context.started = []
 
 
--- a/src/firladder/_internal/engine/advice.py
+++ b/src/firladder/_internal/engine/advice.py
@@ -283,6 +283,15 @@
         }
         self._wanted = {s: w for s, w in self._wanted.items() if s not in over}
 
+    def forget_worker(self, worker_id: str) -> None:
+        """Forget the answers for an incarnation of a worker that is gone."""
+        self._narrowed = None
+        for verdicts in self._verdicts.values():
+            verdicts.pop(worker_id, None)
+        self._rejections = {
+            key: count for key, count in self._rejections.items() if key[1] != worker_id
+        }
+
     def count_tickets(self, now: float) -> int:
         """Return how many tickets are known that have not expired."""
         return sum(
--- a/src/firladder/_internal/engine/answers.py
+++ b/src/firladder/_internal/engine/answers.py
@@ -10,6 +10,7 @@
     SentUnanswered,
     WorkerRefused,
     WorkerReplaced,
+    WorkerRestarted,
 )
 from .health import record_failure
 from .losses import Losses
@@ -45,6 +46,9 @@
         if isinstance(answer, WorkerReplaced):
             self.lose_worker(worker.worker_id, answer.reason, now=now)
             return
+        if isinstance(answer, WorkerRestarted):
+            self.record_restart(worker, answer.born, now)
+            return
         if isinstance(answer, SentUnanswered | FencedOff):
             self.record_no_answer(worker, answer, now)
             if placement.phase is Phase.SENT:
@@ -105,5 +109,7 @@
             placement.last_answer_at = now
         elif isinstance(answer, WorkerReplaced):
             self.lose_worker(worker.worker_id, answer.reason, now=now)
+        elif isinstance(answer, WorkerRestarted):
+            self.record_restart(worker, answer.born, now)
         else:
             self.record_no_answer(worker, answer, now)
--- a/src/firladder/_internal/engine/due_orders.py
+++ b/src/firladder/_internal/engine/due_orders.py
@@ -116,14 +116,16 @@
         """Return the order that starts a placement's task."""
         unit = placement.unit
         assert unit is not None
+        entry = self.workers[placement.worker_id].entry
         return StartOrder(
             placement.worker_id,
-            self.workers[placement.worker_id].entry.address,
+            entry.address,
             placement.task,
             placement.run,
             unit.job.accepted.workload.payload,
             unit.checkpoint,
             self.advice.find_ticket(unit, placement.worker_id),
+            entry.born,
         )
 
     def describe_stop(self, placement: Placement) -> StopOrder | None:
@@ -132,5 +134,9 @@
         if worker is None:
             return None
         return StopOrder(
-            placement.worker_id, worker.entry.address, placement.task, placement.run
+            placement.worker_id,
+            worker.entry.address,
+            placement.task,
+            placement.run,
+            worker.entry.born,
         )
--- a/src/firladder/_internal/engine/losses.py
+++ b/src/firladder/_internal/engine/losses.py
@@ -1,8 +1,11 @@
 """Workers that are silent or gone, and what their loss says of the tasks there."""
 
+import dataclasses
 import itertools
+import math
 
 from ..exceptions import ConnectionClosed, ConnectionRefused, OrderFailure
+from ..models.workload import WorkerEntry
 from .crashes import (
     clear_crash,
     is_late,
@@ -31,11 +34,23 @@
 class Losses(DueOrders):
     """Ends the runs of lost workers, and charges crashes to the tasks there."""
 
-    def lose_worker(self, worker_id: str, reason: str, *, now: float) -> None:
-        """Remove a worker on which nothing runs any more or ever will."""
+    def lose_worker(
+        self,
+        worker_id: str,
+        reason: str,
+        *,
+        now: float,
+        next_life: Worker | None = None,
+    ) -> None:
+        """Remove a worker on which nothing runs any more.
+
+        Nothing ever will, unless it has a ``next_life`` under the same id.
+        """
         worker = self.workers.pop(worker_id, None)
         if worker is None:
             return
+        if next_life is not None:
+            self.workers[worker_id] = next_life
         self.unregistered.discard(worker)
         self.speeds.forget_worker(worker_id)
         self._note_loss(worker, reason, now)
@@ -45,7 +60,49 @@
         if not worker.loss_is_explained or self._left_early(worker, crashed_at):
             self._charge_crash(worker, crashed_at, now)
         for placement in list(worker.placements.values()):
-            self._resolve(worker, placement, None)
+            if next_life is not None and placement.may_start_in_next_life:
+                self._carry_over(placement, next_life)
+            else:
+                self._resolve(worker, placement, None)
+
+    def record_restart(self, worker: Worker, born: int, now: float) -> None:
+        """Record that an answer shows a later incarnation under a worker's id."""
+        if born <= worker.entry.born:
+            return
+        entry = dataclasses.replace(
+            worker.entry, born=born, draining=False, leaves_in_s=None
+        )
+        self._begin_next_life(worker, entry, now)
+
+    def _begin_next_life(
+        self, worker: Worker, entry: WorkerEntry, now: float
+    ) -> Worker:
+        """Replace a worker by its next incarnation under the same id; return that.
+
+        The next one knows no runs and no fencing token, and counts its ends anew. Calls
+        that were meant for the former one may still reach it, with their leases.
+        """
+        next_life = Worker(
+            entry,
+            registered=worker.registered,
+            granted_until=worker.granted_until,
+            grants_sent=worker.grants_sent,
+            open_grants=dict(worker.open_grants),
+        )
+        worker_id, reason = worker.worker_id, "started again under its id"
+        self.lose_worker(worker_id, reason, now=now, next_life=next_life)
+        if not next_life.registered:
+            self.unregistered.add(next_life)
+        self.advice.forget_worker(worker_id)
+        self.profiles.bind(entry)
+        return next_life
+
+    def _carry_over(self, placement: Placement, next_life: Worker) -> None:
+        """Stop a run that the next incarnation of its worker may yet start."""
+        next_life.placements[placement.key] = placement
+        placement.reported = False
+        placement.stop_sent_at = -math.inf
+        self._abort_run_of(placement)
 
     def _note_loss(self, worker: Worker, reason: str, now: float) -> None:
         """Log how a worker went, and what ran there since when."""
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -1,5 +1,7 @@
 """Apply the reports of workers, and expire or abort runs when none come."""
 
+import dataclasses
+
 from ..models.order import EndedTask, Ending, TaskId, WorkerReport
 from ..models.workload import WorkerEntry
 from .answers import Answers
@@ -23,6 +25,12 @@
         """Add a worker, or update it with its newest entry; return it."""
         self.profiles.bind(entry)
         worker = self.workers.get(entry.worker_id)
+        if worker is not None and entry.born and worker.entry.born:
+            if entry.born < worker.entry.born:
+                # An answer has shown the next incarnation before its entry came.
+                return worker
+            if entry.born > worker.entry.born:
+                worker = self._begin_next_life(worker, entry, now)
         if worker is None:
             worker = self.workers[entry.worker_id] = Worker(entry)
         else:
@@ -103,7 +111,14 @@
     def handle_report(
         self, worker: Worker, report: WorkerReport, *, sent_at: float, now: float
     ) -> None:
-        """Apply a worker's report on its runs, polled at ``sent_at``."""
+        """Apply a worker's report on its runs, polled at ``sent_at``.
+
+        A late report of a former incarnation changes nothing.
+        """
+        if self.workers.get(worker.worker_id) is not worker:
+            return
+        if report.born and not worker.entry.born:
+            worker.entry = dataclasses.replace(worker.entry, born=report.born)
         self._mark_reachable(worker)
         worker.answered_at = now
         worker.claimed = True
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -136,6 +136,16 @@
         """Return whether the task may have begun on its worker."""
         return self.reported or self.may_start_late or self.recovered
 
+    @property
+    def may_start_in_next_life(self) -> bool:
+        """Return whether a start may yet be carried out by the worker's next life.
+
+        The answer to a start does not say which incarnation has carried it out; only a
+        report that lists the run does. The copies of a former leader are not known.
+        """
+        unlisted = self.sent_at < math.inf and self.listed_at == -math.inf
+        return unlisted or self.may_start_late or self.recovered
+
     @property
     def is_active(self) -> bool:
         """Return whether the task is known to have started and is not being stopped."""
--- a/src/firladder/_internal/exceptions.py
+++ b/src/firladder/_internal/exceptions.py
@@ -226,6 +226,17 @@
     http_status: ClassVar[int] = 503
 
 
+class WorkerRestarted(Failure, frozen=True, kw_only=True, tag="worker_restarted"):
+    """The worker has started again under its id, and has carried out the call.
+
+    ``born`` is when its new incarnation started, in Unix milliseconds.
+    """
+
+    http_status: ClassVar[int] = 503
+
+    born: int
+
+
 class AdviceBusy(Failure, frozen=True, kw_only=True, tag="advice_busy"):
     """The advice service has too many requests of other VMs waiting."""
 
@@ -300,6 +311,7 @@
     | OrderRejected
     | WorkerRefused
     | WorkerReplaced
+    | WorkerRestarted
     | UnknownKey
     | JobGone
     | OutcomeUnknown
@@ -315,6 +327,7 @@
     | OrderRejected
     | WorkerRefused
     | WorkerReplaced
+    | WorkerRestarted
     | NotSent
     | SentUnanswered
 )
--- a/src/firladder/_internal/models/order.py
+++ b/src/firladder/_internal/models/order.py
@@ -49,13 +49,15 @@
     """The running tasks of a worker, and the ends not yet acknowledged to it.
 
     ``clock_s`` is the worker's monotonic clock. If the report is not ``complete``, more
-    ends are listed once some of these are acknowledged.
+    ends are listed once some of these are acknowledged. ``born`` is when this
+    incarnation of the worker started, or 0 if it does not say.
     """
 
     clock_s: float
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
     complete: bool = True
+    born: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,6 +65,7 @@
     """Order to start ``task`` as run number ``run`` on a worker.
 
     ``ticket`` proves that the worker may run the task, if its queue has advice.
+    ``born`` names the incarnation that is meant, or is 0.
     """
 
     worker_id: str
@@ -72,13 +75,18 @@
     payload: str
     checkpoint: str
     ticket: str = ""
+    born: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopOrder:
-    """Order to stop all runs of ``task`` up to and including ``run`` on a worker."""
+    """Order to stop all runs of ``task`` up to and including ``run`` on a worker.
+
+    ``born`` names the incarnation that is meant, or is 0.
+    """
 
     worker_id: str
     address: str
     task: TaskId
     run: int
+    born: int = 0
--- a/src/firladder/_internal/models/workload.py
+++ b/src/firladder/_internal/models/workload.py
@@ -172,7 +172,9 @@
     """One incarnation of a worker, as it registered itself.
 
     ``rack`` is empty if the worker names none. While the worker drains,
-    ``leaves_in_s`` is the minimum time until it leaves.
+    ``leaves_in_s`` is the minimum time until it leaves. ``born`` is when this
+    incarnation started, in Unix milliseconds, or 0 if it does not say: a worker may
+    start again under its id.
     """
 
     worker_id: str
@@ -184,3 +186,4 @@
     rack: str = ""
     draining: bool = False
     leaves_in_s: float | None = None
+    born: int = 0
--- a/src/firladder/_internal/node/order_sender.py
+++ b/src/firladder/_internal/node/order_sender.py
@@ -247,7 +247,7 @@
         if isinstance(answer, FencedOff):
             context.step_down("a worker knows a higher fencing token")
             return
-        if not seen_running:
+        if not (seen_running or self._removed):
             self._core.handle_start_answer(placement, answer, now)
 
     async def _await_reachable(self) -> None:
@@ -316,6 +316,9 @@
         if isinstance(answer, FencedOff):
             context.step_down("a worker knows a higher fencing token")
             return
+        if self._removed:
+            # The stop may have to be sent again to the worker's next incarnation.
+            return
         now = context.clock.read_monotonic()
         self._core.handle_stop_answer(placement, answer, now)
 
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -15,6 +15,7 @@
     OrderRejected,
     WorkerRefused,
     WorkerReplaced,
+    WorkerRestarted,
 )
 from ..models.order import WorkerReport
 from .answer_timer import AnswerTimer
@@ -214,6 +215,7 @@
         call = context.calls.poll(
             worker.worker_id,
             worker.entry.address,
+            born=worker.entry.born,
             acknowledged=acknowledged,
             deadline_s=deadline_s,
             wait_s=wait_s,
@@ -272,8 +274,12 @@
         worker = self._worker
         if isinstance(answer, FencedOff):
             self._context.step_down("a worker knows a higher fencing token")
+        elif self._removed:
+            return
         elif isinstance(answer, WorkerReplaced):
             self._core.lose_worker(worker.worker_id, answer.reason, now=now)
+        elif isinstance(answer, WorkerRestarted):
+            self._core.record_restart(worker, answer.born, now)
         else:
             if worker.reachable:
                 logger.info(
--- a/src/firladder/_internal/platform/discovery.py
+++ b/src/firladder/_internal/platform/discovery.py
@@ -28,6 +28,7 @@
     labels: list[str] = []
     # Set only while draining: the minimum time until the worker leaves.
     remaining_ms: float | None = None
+    born: int = 0
 
 
 def decode_worker(key: str, value: bytes) -> WorkerEntry | MalformedBody:
@@ -51,6 +52,7 @@
         rack=_find_rack(wire.labels),
         draining=wire.state == _DRAINING,
         leaves_in_s=None if remaining_ms is None else remaining_ms / 1000,
+        born=wire.born,
     )
 
 
--- a/src/firladder/_internal/platform/workers.py
+++ b/src/firladder/_internal/platform/workers.py
@@ -12,6 +12,7 @@
     SentUnanswered,
     WorkerRefused,
     WorkerReplaced,
+    WorkerRestarted,
 )
 from ..models.order import (
     EndedTask,
@@ -47,6 +48,7 @@
 class _OrderReply(msgspec.Struct):
     clock_ms: float
     reason: str = ""
+    born: int = 0
 
 
 class _PollReply(msgspec.Struct):
@@ -55,6 +57,7 @@
     running: list[list[Any]] = []
     # Rows: sequence number, task, run, ending, checkpoint.
     ended: list[list[Any]] = []
+    born: int = 0
 
 
 def format_task(task: TaskId) -> str:
@@ -122,6 +125,7 @@
         worker_id: str,
         address: str,
         *,
+        born: int,
         acknowledged: int,
         deadline_s: float | None,
         wait_s: float,
@@ -132,6 +136,7 @@
 
         The worker discards ended runs up to sequence number ``acknowledged``. A
         ``deadline_s`` on the worker's clock extends the lease of all runs there.
+        ``born`` names the incarnation that is meant, or is 0.
         """
         body: dict[str, Any] = {"fencing_token": self.token, "last_seen": acknowledged}
         if deadline_s is not None:
@@ -150,11 +155,15 @@
             return response
         try:
             wire = msgspec.json.decode(response.body, type=_PollReply)
+            other = _find_other_life(born, wire.born)
+            if other is not None:
+                return other
             return WorkerReport(
                 wire.clock_ms / 1000,
                 tuple(filter(None, map(_convert_running, wire.running))),
                 tuple(filter(None, map(_convert_ended, wire.ended))),
                 complete=len(wire.ended) < MAX_ENDS_LISTED,
+                born=wire.born,
             )
         except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
             logger.warning("worker %s: cannot decode report: %s", worker_id, error)
@@ -179,7 +188,9 @@
         if not isinstance(response, HttpResponse):
             return response
         try:
-            return msgspec.json.decode(response.body, type=_OrderReply).clock_ms / 1000
+            reply = msgspec.json.decode(response.body, type=_OrderReply)
+            other = _find_other_life(order.born, reply.born)
+            return reply.clock_ms / 1000 if other is None else other
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             logger.warning(
                 "worker %s: cannot decode response: %s", order.worker_id, error
@@ -213,6 +224,17 @@
         return _classify_refusal(response)
 
 
+def _find_other_life(
+    meant: int, answered: int
+) -> WorkerRestarted | SentUnanswered | None:
+    """Return the failure if another incarnation answered than the one meant."""
+    if not meant or not answered or meant == answered:
+        return None
+    if answered < meant:
+        return SentUnanswered(reason="a former incarnation answered")
+    return WorkerRestarted(reason="started again under its id", born=answered)
+
+
 def _choose_kind(path: str, body: dict[str, Any]) -> str:
     kind = path.rpartition("/")[2]
     return f"{kind} waiting" if "wait_ms" in body else kind
