Start a task that lasts again when it ends as done

A job of one task that lasts was shown as completed when a worker listed the task as done, and nothing started it again, although such tasks must be restarted however they end.

Cause: the unit of a run that ended as done counted as done, whatever its step. A task that lasts now waits for its next run, as after any other end.

Run: the new scenario of engine_runs fails without the change (the unit stays at run 1); the 26 scenarios of engine_runs pass.

--- a/features/engine_runs.feature
+++ b/features/engine_runs.feature
@@ -10,6 +10,13 @@
     When what has changed becomes durable
     Then 1 start is sent
 
+  Scenario: A task that lasts is started again when it ends as done
+    Guards against a service that is shown as completed although nobody cancelled it.
+    Given an engine with 2 workers of 8 accelerators
+    And job "a" of 1 task that lasts is running
+    When "a" ends as done
+    Then "a" is planned again under run 2
+
   Scenario: A start without an answer is stopped and waited for before the next
     The answer to a start order is lost, or the worker carries it out seconds later.
     If the task were started elsewhere at once, it would run twice at the same time.
--- a/features/steps/engine_runs_steps.py
+++ b/features/steps/engine_runs_steps.py
@@ -43,6 +43,18 @@
     accept_started(context)
 
 
+@given('job "{name}" of 1 task that lasts is running')
+def run_lasting(context, name):
+    context.engine.submit(make_job(name, make_step(lasting=True)))
+    context.started = context.engine.start_all()
+    accept_started(context)
+
+
+@when('"{name}" ends as done')
+def end_done(context, name):
+    context.engine.end(context.engine.find_placement(name), "done")
+
+
 @given('job "{name}" of 1 task with 8 accelerators and 2 attempts is running')
 def run_two_attempts(context, name):
     context.engine.submit(make_job(name, make_step(), attempts=2))
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -336,7 +336,7 @@
         self._mark_changed(unit.job)
         if unit.state is not UnitState.BUSY:
             return
-        if ending == "done":
+        if ending == "done" and not unit.step.lasting:
             unit.state = UnitState.DONE
             if unit.job.accepted.priority == 0:
                 self.note("urgent work ended", **self._describe_done(unit, placement))
