Grant no lease with a start after the leader's authority has ended

A leader that was frozen after planning could send starts with whole leases when it went on, on workers that its successor does not reach: the successor counts on the end of the leases that were granted before.

Cause: polls ask whether leases may be renewed before they carry one, starts did not. The check now stands before each start, after everything that a start waits for; a start that may not be sent is withdrawn, and its unit waits again.

Run: the new scenario of node_orders fails without the change; the 24 scenarios of node_orders pass.

--- a/features/node_orders.feature
+++ b/features/node_orders.feature
@@ -49,6 +49,12 @@
     When a job of 6 small tasks is submitted, and cancelled 0.1 s later
     Then only its first task was started, and no other was stopped
 
+  Scenario: A leader that has lost its authority grants no lease with a start
+    Guards against work that starts where a successor counts on the end of a lease.
+    Given a leader of one worker, all of whose answers take 0.3 s
+    When a job of 6 small tasks is submitted, and the leader is frozen 0.1 s later
+    Then only its first task was started, and no other was stopped
+
   Scenario: A start that found no connection is ordered elsewhere at once
     Guards against tasks that wait for the lease of an order that was never sent.
     Given a leader of 2 workers, one of which accepts no connection
--- a/features/steps/node_order_steps.py
+++ b/features/steps/node_order_steps.py
@@ -190,6 +190,14 @@
     submit_six_small(context, lambda leader: leader.core.cancel_job("small"))
 
 
+@when("a job of 6 small tasks is submitted, and the leader is frozen 0.1 s later")
+def freeze(context):
+    def lose_authority(leader):
+        leader.may_renew = False
+
+    submit_six_small(context, lose_authority)
+
+
 @then("only its first task was started, and no other was stopped")
 def check_unsent(context):
     sent = context.leader.calls.sent
--- a/src/firladder/_internal/node/order_sender.py
+++ b/src/firladder/_internal/node/order_sender.py
@@ -212,6 +212,9 @@
             now = context.clock.read_monotonic()
             self._core.abort_late_gang(placement.unit, now)
             self._core.abort_without_ticket(placement.unit, now)
+        if not context.may_renew and placement.unit is not None:
+            # A successor that does not reach the worker would count on its old lease.
+            self._core.preempt(placement.unit)
         if placement.phase is not Phase.SENT:
             self._core.drop_unsent(placement)
             return
--- a/src/firladder/_internal/node/session_context.py
+++ b/src/firladder/_internal/node/session_context.py
@@ -33,7 +33,7 @@
 
     @property
     def may_renew(self) -> bool:
-        """Return whether leases may still be renewed."""
+        """Return whether leases may still be granted or renewed."""
 
     def request_pass(self) -> None:
         """Schedule a planning pass and a write of changed jobs."""
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -175,7 +175,7 @@
 
     @property
     def may_renew(self) -> bool:
-        """Return whether leases of workers may still be renewed.
+        """Return whether leases of workers may still be granted or renewed.
 
         Without the store a leader continues for a limited time, as the store itself is
         likely down. A successor waits for that time before it reuses the workers.
