Count a job as pending for a successor unless a task may have begun

After a change of leaders the length of a queue left out jobs whose starts had been refused: the successor, and nodes that read the records themselves, took a record with a run number for a job that had begun. A refused start uses up a run number as well.

A recorded job now counts as begun if a unit is placed, has ended or has failed. A run that begins after the record was written is placed in it.

--- a/features/engine_runs.feature
+++ b/features/engine_runs.feature
@@ -79,6 +79,18 @@
     When what has changed becomes durable
     Then "a" is shown as "completed" and its end is acknowledged
 
+  Scenario Outline: A successor counts a job as pending unless a task may have begun
+    Guards against a queue that is shown as shorter than it is after a change of leaders.
+    Given an engine with 1 worker of 8 accelerators
+    And job "a" of 1 task with 8 accelerators is started
+    When the worker <answers> the start, and a successor reads the records
+    Then the successor counts <count> pending
+
+    Examples:
+      | answers | count |
+      | refuses | 1     |
+      | accepts | 0     |
+
   Scenario: A successor polls the workers before it starts anything again
     The leader dies while a task is running. Its successor reads that the task is on a
     worker, and may not start it elsewhere before that worker has answered.
--- a/features/steps/engine_runs_steps.py
+++ b/features/steps/engine_runs_steps.py
@@ -10,10 +10,15 @@
 from firladder._internal.engine import leases
 from firladder._internal.engine.state import Phase as RunPhase
 from firladder._internal.engine.state import UnitState
-from firladder._internal.exceptions import OrderRejected, SentUnanswered
+from firladder._internal.exceptions import (
+    OrderRejected,
+    SentUnanswered,
+    WorkerRefused,
+)
 from firladder._internal.models.order import EndedTask, RunningTask, TaskId
 
 
+@given("an engine with {count:d} worker of 8 accelerators")
 @given("an engine with {count:d} workers of 8 accelerators")
 def make_engine(context, count):
     context.engine = EngineWorld(count)
@@ -50,6 +55,27 @@
     accept_started(context)
 
 
+@when("the worker refuses the start, and a successor reads the records")
+def refuse_start(context):
+    engine = context.engine
+    refusal = WorkerRefused(reason="503")
+    engine.core.handle_start_answer(context.started[0], refusal, engine.now)
+    engine.make_durable()
+    engine.succeed()
+
+
+@when("the worker accepts the start, and a successor reads the records")
+def accept_start(context):
+    accept_started(context)
+    context.engine.make_durable()
+    context.engine.succeed()
+
+
+@then("the successor counts {count:d} pending")
+def check_pending(context, count):
+    assert context.engine.core.count_pending("q1") == count
+
+
 @when('"{name}" ends as done')
 def end_done(context, name):
     context.engine.end(context.engine.find_placement(name), "done")
--- a/src/firladder/_internal/engine/progress.py
+++ b/src/firladder/_internal/engine/progress.py
@@ -18,6 +18,8 @@
     Worker,
 )
 
+ENDED = frozenset((UnitState.DONE, UnitState.FAILED))
+
 
 class PlacedTask(msgspec.Struct, frozen=True, array_like=True):
     """A task of the newest run, and the worker that it was given to."""
@@ -112,11 +114,23 @@
         return describe_error(error)
 
 
+def may_have_begun(progress: JobProgress) -> bool:
+    """Return whether a task of a job may have begun since its progress was recorded.
+
+    A unit that is placed may be at work by now. One that has only used up run numbers
+    was refused by its workers.
+    """
+    return any(
+        unit.placed or unit.failed_runs or UnitState(unit.state) in ENDED
+        for unit in progress.units
+    )
+
+
 def restore_job(job: Job, progress: JobProgress) -> None:
     """Restore the recorded progress of a newly built job."""
     job.state = JobState(progress.state)
     job.ended_at = progress.ended_at
-    if progress.units and job.state is JobState.QUEUED:
+    if job.state is JobState.QUEUED and may_have_begun(progress):
         job.state = JobState.RUNNING
     for recorded in progress.units:
         if recorded.number < len(job.units):
--- a/src/firladder/_internal/node/records.py
+++ b/src/firladder/_internal/node/records.py
@@ -5,8 +5,8 @@
 import logging
 from typing import Literal
 
-from ..engine.progress import decode_progress
-from ..engine.state import JobState
+from ..engine.progress import decode_progress, may_have_begun
+from ..engine.state import TERMINAL, JobState
 from ..exceptions import (
     JobGone,
     MalformedBody,
@@ -173,7 +173,7 @@
         if isinstance(accepted, NotFound):
             return JobGone(reason="no job has this id")
         state = _read_progress(progress) if isinstance(progress, Item) else None
-        if state is not None and state is not JobState.RUNNING:
+        if state in TERMINAL:
             return state
         if isinstance(cancelled, Item):
             return JobState.CANCELLED
@@ -195,6 +195,6 @@
         logger.error("cannot decode progress record %s: %s", item.key, progress.reason)
         return None
     state = JobState(progress.state)
-    if state is JobState.QUEUED and progress.units:
+    if state is JobState.QUEUED and may_have_begun(progress):
         return JobState.RUNNING
     return state
