Keep the limit on tasks per worker where room is made by preemption

An urgent job of four single tasks, of which a worker may run one at a time, started two of them on each of two workers in a pool full of lower work.

Cause: preemption counted the tasks of the unit instead of those of its step, and a reservation was used without looking at what had started meanwhile. One function names the workers that are full for a step, with what is reserved for its other units; preemption leaves these out, and a reservation on one is given up.

--- a/features/engine_victims.feature
+++ b/features/engine_victims.feature
@@ -13,3 +13,11 @@
     Given a gang that lost a run of 20 s, and one that lost a run of 1 s
     When both have run for 1 s
     Then stopping the first costs at least 19 s of its cores more
+
+  Scenario: Room is made on as many workers as a limit on tasks per worker asks for
+    Guards against two tasks of a step on a worker that may have one of them.
+    Given 2 workers full of lower tasks of 1 accelerator
+    When an urgent job of 4 single tasks comes, of which a worker may have 1 at a time
+    Then each worker gets 1 of them, and no work is stopped for the others
+    When these are done
+    Then each worker gets 1 of the others
--- a/features/steps/engine_victims_steps.py
+++ b/features/steps/engine_victims_steps.py
@@ -128,3 +128,55 @@
     first, second = (estimate_loss(u, world.now, restart_s=0.3) for u in units)
     least = seconds * count_cores(units[0].step.need)
     assert first - second >= least - 1.0, (first, second, least)
+
+
+@given("{count:d} workers full of lower tasks of 1 accelerator")
+def fill_workers(context, count):
+    context.engine = engine = EngineWorld(count)
+    engine.submit(make_job("lower", make_step(8 * count, 1), priority=2))
+    engine.accept(engine.start_all())
+
+
+@when(
+    "an urgent job of {count:d} single tasks comes, of which a worker may have 1 at a"
+    " time"
+)
+def submit_limited(context, count):
+    step = make_step(count, 1, most_per_worker=1)
+    context.engine.submit(make_job("urgent", step, priority=0, at=context.engine.now))
+    context.stopped = 0
+    start_urgent(context)
+
+
+def start_urgent(context):
+    """Carry out stops and starts for a few passes; keep what started."""
+    engine = context.engine
+    context.started = []
+    for _ in range(6):
+        engine.now += 0.1
+        started = engine.start_all()
+        urgent = [p for p in started if p.task.job_id == "urgent"]
+        engine.accept(urgent)
+        context.started += urgent
+        for placement in engine.core.take_stops(engine.now):
+            engine.end(placement, "stopped")
+            context.stopped += 1
+
+
+@then("each worker gets 1 of them, and no work is stopped for the others")
+def check_limited(context):
+    check_others(context)
+    assert context.stopped == 2, context.stopped
+
+
+@when("these are done")
+def end_urgent(context):
+    for placement in context.started:
+        context.engine.end(placement, "done")
+    start_urgent(context)
+
+
+@then("each worker gets 1 of the others")
+def check_others(context):
+    found = sorted(p.worker_id for p in context.started)
+    assert found == ["w0", "w1"], found
--- a/src/firladder/_internal/engine/planning.py
+++ b/src/firladder/_internal/engine/planning.py
@@ -25,7 +25,7 @@
 from .state import Unit
 from .strategies import StrategyNames, choose_strategies
 from .strategy_kinds import PlannerSettings
-from .unit_limits import UnitLimits, count_taken
+from .unit_limits import UnitLimits, count_taken, list_filled
 from .waiting import WaitingUnits
 
 PREEMPTED_BACKOFF_S = 1.0
@@ -212,6 +212,9 @@
         if not is_capacity_free(reservation, pool):
             return False
         self._reservations.drop(unit)
+        if not list_filled(unit).isdisjoint(reservation.workers):
+            # Another task of the step was placed there meanwhile.
+            return False
         self._core.plan_run(unit, reservation.workers)
         self._estimates.invalidate(unit)
         return True
@@ -280,7 +283,9 @@
             unit,
             pool,
             now,
-            avoided=self._limits.list_avoided(unit, pool),
+            avoided=self._limits.list_avoided(unit, pool).union(
+                list_filled(unit, self._reservations.list_reserved(unit))
+            ),
             spread_allowed=self._limits.may_spread(unit),
             may_start_elsewhere=wanted,
         )
--- a/src/firladder/_internal/engine/reservations.py
+++ b/src/firladder/_internal/engine/reservations.py
@@ -68,6 +68,12 @@
         """Return a unit's reservation, or None."""
         return self._reservations.get(id(unit))
 
+    def list_reserved(self, unit: Unit) -> list[str]:
+        """Return the workers reserved for the other units of a unit's step."""
+        step = unit.job.by_step[unit.occurrence, unit.step_index]
+        found = [self.find(other) for other in step if other is not unit]
+        return [w for reservation in found if reservation for w in reservation.workers]
+
     def drop(self, unit: Unit) -> None:
         """Remove a unit's reservation, if it has one."""
         self._reservations.pop(id(unit), None)
--- a/src/firladder/_internal/engine/unit_limits.py
+++ b/src/firladder/_internal/engine/unit_limits.py
@@ -1,6 +1,7 @@
 """Limits on the workers that one unit may use: racks, failures, tasks per worker."""
 
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Iterable, Sequence
 
 from .core import Core
 from .guarantees import is_guaranteed
@@ -108,3 +109,14 @@
         for placement in other.placements.values():
             taken[placement.worker_id] = taken.get(placement.worker_id, 0) + 1
     return taken
+
+
+def list_filled(unit: Unit, reserved: Iterable[str] = ()) -> set[str]:
+    """Return the workers that have as many tasks of a unit's step as they may.
+
+    ``reserved`` names the workers that other units of the step will get.
+    """
+    if not unit.step.most_per_worker:
+        return set()
+    taken = Counter(count_taken(unit)) + Counter(reserved)
+    return {w for w, count in taken.items() if count >= unit.step.most_per_worker}
