Look whether a job is stored before a stopping node refuses it

A caller whose first attempt got no answer could be told 503, "not run", by a node that is stopping, although the job was stored and runs. Such a node refused without a look at the store; it now answers 200 if the job is stored, 504 if the store does not tell, and 503 only if the job is certainly not there, as refusals for lack of advice already do.

Run: node_advice, 33 scenarios passed; two of its three new rows fail without the change.

--- a/features/node_advice.feature
+++ b/features/node_advice.feature
@@ -98,3 +98,6 @@
       | whose leader lacked it long ago | does not have  | 200    |
       | whose former leader lacked it  | does not have   | 200    |
       | with an advice service         | does not have   | 200    |
+      | that is stopping               | does not have   | 503    |
+      | that is stopping               | has             | 200    |
+      | that is stopping               | does not tell   | 504    |
--- a/features/steps/node_advice_steps.py
+++ b/features/steps/node_advice_steps.py
@@ -349,7 +349,7 @@
     context.node = types.SimpleNamespace(
         clock=clock,
         configuration=configuration,
-        leaving=False,
+        leaving="stopping" in service,
         settings=types.SimpleNamespace(
             advice_address="" if "without" in service else "10.0.0.9:80"
         ),
--- a/src/firladder/_internal/node/client_api.py
+++ b/src/firladder/_internal/node/client_api.py
@@ -168,9 +168,10 @@
         if isinstance(workload, Failure):
             return reply_failure(workload)
         if self._node.leaving:
-            return reply_failure(
-                Draining(reason="this node is stopping", retry_after_s=RETRY_AFTER_S)
+            stopping = Draining(
+                reason="this node is stopping", retry_after_s=RETRY_AFTER_S
             )
+            return await self._refuse_unless_stored(job_id, stopping, until)
         if queue.advice is not None:
             lacking = self._find_missing_advice()
             if lacking is not None:
