Charge the loss of a worker that restarted under its id while nobody led

A task that crashes its workers was started up to seven times, instead of five, if workers keep their ids and leaders change between a crash and the restart: the successor took the next incarnation for the one on which the run was placed, found the run absent, and charged nothing.

The records name the incarnations of the workers on which runs were placed. A successor that finds a later one, at once or when its entry comes, ends the former one as a leader does that saw the restart. An older build ignores the new field.

--- a/features/node_crashing_tasks.feature
+++ b/features/node_crashing_tasks.feature
@@ -100,6 +100,19 @@
     When 8 plays of 24 jobs, of which 3 crash their workers, are drawn from seed 300 on
     Then each crashing task is started 5 times at most, and each sound job is done
 
+  Scenario Outline: Workers that restart under their ids run no task twice
+    Guards against taking the next incarnation of a worker for the former one.
+    When a play of 24 jobs, of which 3 crash their workers, is drawn from seed <seed>, with workers that keep their ids
+    Then each crashing task is started 5 times at most, and each sound job is done
+    And no task runs twice at the same time
+
+    Examples:
+      | seed |
+      | 0    |
+      | 6    |
+      | 22   |
+      | 47   |
+
   Scenario Outline: The random plays that failed once pass
     Guards against <what>.
     When 1 plays of 24 jobs, of which 3 crash their workers, are drawn from seed <seed> on
--- a/features/steps/node_crashing_task_steps.py
+++ b/features/steps/node_crashing_task_steps.py
@@ -3,7 +3,11 @@
 
 from behave import given, then, when
 
-from features.support.crash_plays import find_problems, play_crashes
+from features.support.crash_plays import (
+    find_double_runs,
+    find_problems,
+    play_crashes,
+)
 from features.support.gang_faults import GangPlay
 from features.support.gang_store import Fate, Fault
 from firladder._internal.platform.discovery import WORKER_PREFIX
@@ -324,6 +328,22 @@
     }
 
 
+@when(
+    "a play of 24 jobs, of which 3 crash their workers, is drawn from seed {seed:d},"
+    " with workers that keep their ids"
+)
+def play_with_ids(context, seed):
+    context.play = play_crashes(seed, keep_ids=True)
+    problems = find_problems(context.play)
+    context.problems = {seed: problems} if problems else {}
+
+
+@then("no task runs twice at the same time")
+def check_double_runs(context):
+    found = find_double_runs(context.play)
+    assert not found, found
+
+
 @then("each crashing task is started 5 times at most, and each sound job is done")
 def check_problems(context):
     assert not context.problems, context.problems
--- a/features/support/crash_plays.py
+++ b/features/support/crash_plays.py
@@ -1,6 +1,8 @@
 """Random plays with jobs that crash their workers, beside other losses of workers."""
 
 import asyncio
+import collections
+import itertools
 import random
 
 from features.support.gang_faults import GangPlay
@@ -82,11 +84,19 @@
             play.machines[number].resize(rng.choice((2, 4, 8, 8)))
 
 
-def play_crashes(seed: int) -> GangPlay:
-    """Play 24 jobs, of which 3 crash their workers, beside other disturbances."""
+def play_crashes(seed: int, *, keep_ids: bool = False) -> GangPlay:
+    """Play 24 jobs, of which 3 crash their workers, beside other disturbances.
+
+    With ``keep_ids`` workers restart under the ids that they had.
+    """
     rng = random.Random(seed)
     play = GangPlay(
-        MACHINES, faults=choose_faults(rng), seed=seed, per_rack=4, takes_s=3.0
+        MACHINES,
+        faults=choose_faults(rng),
+        seed=seed,
+        per_rack=4,
+        takes_s=3.0,
+        keep_ids=keep_ids,
     )
     play.down_s = rng.choice((0.5, 3.3, 6.0))
     play.events = []
@@ -100,6 +110,19 @@
     return play.play(script, seconds=SECONDS)
 
 
+def find_double_runs(play: GangPlay) -> list[str]:
+    """Return the runs of a task that began while a former one was at work."""
+    by_task = collections.defaultdict(list)
+    for member in play.members:
+        by_task[member.task].append(member)
+    return [
+        f"{task} run {later.run} began at {later.started_at:.2f} beside run {first.run}"
+        for task, members in by_task.items()
+        for first, later in itertools.combinations(members, 2)
+        if first.ended_at is None or later.started_at < first.ended_at
+    ]
+
+
 def find_problems(play: GangPlay) -> list[str]:
     """Return what a play shows that must not happen."""
     term, _ = play.terms[-1]
--- a/features/support/engine_world.py
+++ b/features/support/engine_world.py
@@ -137,6 +137,7 @@
         for job_id, accepted in self.accepted.items():
             self.core.add_job(accepted, recorded.get(job_id))
         self.core.restore_expiries(recorded, now=self.now, wall=self.now)
+        self.core.end_former_lives(recorded, now=self.now)
 
 
 class SimulatedWorker:
--- a/features/support/gang_faults.py
+++ b/features/support/gang_faults.py
@@ -32,6 +32,7 @@
     OrderRejected,
     SentUnanswered,
     WorkerReplaced,
+    WorkerRestarted,
 )
 from firladder._internal.models.order import EndedTask, RunningTask, WorkerReport
 from firladder._internal.models.workload import AcceptedJob, QueueConfiguration
@@ -82,8 +83,11 @@
 class Machine:
     """A worker's machine, and the state of its current incarnation."""
 
-    def __init__(self, number: int, *, accelerators: int, per_rack: int) -> None:
+    def __init__(
+        self, number: int, *, accelerators: int, per_rack: int, keeps_id: bool = False
+    ) -> None:
         self.number = number
+        self.keeps_id = keeps_id
         self._entry = make_entry(number, accelerators=accelerators, per_rack=per_rack)
         self.lives = 0
         self.down = False
@@ -93,7 +97,9 @@
 
     def _begin_life(self) -> None:
         self.lives += 1
-        self.worker_id = f"{self._entry.worker_id}.{self.lives}"
+        life = 1 if self.keeps_id else self.lives
+        self.worker_id = f"{self._entry.worker_id}.{life}"
+        self.born = self.lives if self.keeps_id else 0
         self.token = 0
         self.running: dict = {}
         self.highest: dict = {}
@@ -104,7 +110,9 @@
 
     @property
     def entry(self):
-        return dataclasses.replace(self._entry, worker_id=self.worker_id)
+        return dataclasses.replace(
+            self._entry, worker_id=self.worker_id, born=self.born
+        )
 
     def resize(self, accelerators: int) -> None:
         """Change the capacity that the next entry tells."""
@@ -158,12 +166,21 @@
         )
 
     async def poll(
-        self, worker_id, address, *, acknowledged, deadline_s, wait_s, timeout_s, **_
+        self,
+        worker_id,
+        address,
+        *,
+        born,
+        acknowledged,
+        deadline_s,
+        wait_s,
+        timeout_s,
+        **_,
     ):
         return await self._call(
             "poll",
             worker_id,
-            lambda m: self._poll(m, acknowledged, deadline_s, wait_s),
+            lambda m: self._poll(m, born, acknowledged, deadline_s, wait_s),
             timeout_s,
             timeout_s,
         )
@@ -230,8 +247,8 @@
             play.end(machine, key, "stopped")
         return play.now
 
-    async def _poll(self, machine, acknowledged, deadline_s, wait_s):
-        play, life = self.play, machine.worker_id
+    async def _poll(self, machine, born, acknowledged, deadline_s, wait_s):
+        play, life = self.play, machine.lives
         if deadline_s is not None:
             play.extend_lease(machine, deadline_s)
         machine.ended = [e for e in machine.ended if e.number > acknowledged]
@@ -241,13 +258,15 @@
             waiting = asyncio.ensure_future(machine.ended_event.wait())
             await asyncio.wait({waiting}, timeout=until - play.now)
             waiting.cancel()
-        if machine.worker_id != life or machine.down:
+        if machine.lives != life or machine.down:
             return CLOSED
+        if born and machine.born != born:
+            return WorkerRestarted(reason="restarted", born=machine.born)
         rows = tuple(
             RunningTask(m.task, m.run, "", play.measure_percent(m))
             for m in machine.running.values()
         )
-        return WorkerReport(play.now, rows, tuple(machine.ended))
+        return WorkerReport(play.now, rows, tuple(machine.ended), born=machine.born)
 
 
 class GangPlay:
@@ -262,12 +281,13 @@
         accelerators: int = 8,
         per_rack: int = 8,
         takes_s: float = 5.0,
+        keep_ids: bool = False,
     ) -> None:
         self.rng = random.Random(seed)
         self.faults = list(faults)
         self.takes_s = takes_s
         self.machines = [
-            Machine(n, accelerators=accelerators, per_rack=per_rack)
+            Machine(n, accelerators=accelerators, per_rack=per_rack, keeps_id=keep_ids)
             for n in range(machines)
         ]
         self.store = FaultyStore()
@@ -421,6 +441,7 @@
                 "gpu": capacity.accelerators,
             },
             "labels": [*entry.labels, entry.rack],
+            "born": entry.born,
             "at": self.now,
         }
         self.store.put(WORKER_PREFIX + entry.worker_id, json.dumps(value).encode())
--- a/src/firladder/_internal/engine/core.py
+++ b/src/firladder/_internal/engine/core.py
@@ -1,5 +1,6 @@
 """The scheduling core: takes events and returns orders; time is passed in."""
 
+import dataclasses
 from collections.abc import Mapping
 
 from ..models.workload import AcceptedJob, WorkerEntry
@@ -40,6 +41,7 @@
                         "",
                         unit.step.need,
                         frozenset(),
+                        born=progress.born.get(placement.worker_id, 0),
                     )
                     worker = Worker(entry, registered=False)
                     self.workers[placement.worker_id] = worker
@@ -53,6 +55,28 @@
         if job.terminal:
             self._stop_all(job)
 
+    def end_former_lives(
+        self, recorded: Mapping[str, JobProgress], *, now: float
+    ) -> None:
+        """End the incarnations on which former leaders had placed runs.
+
+        A worker may have started again under its id while nobody led.
+        """
+        for worker in list(self.workers.values()):
+            jobs = {p.task.job_id for p in worker.placements.values()}
+            born = max(
+                (
+                    recorded[job_id].born.get(worker.worker_id, 0)
+                    for job_id in jobs
+                    if job_id in recorded
+                ),
+                default=0,
+            )
+            if 0 < born < worker.entry.born:
+                entry = worker.entry
+                worker.entry = dataclasses.replace(entry, born=born)
+                self._begin_next_life(worker, entry, now)
+
     def restore_expiries(
         self, recorded: Mapping[str, JobProgress], *, now: float, wall: float
     ) -> None:
--- a/src/firladder/_internal/engine/progress.py
+++ b/src/firladder/_internal/engine/progress.py
@@ -46,7 +46,8 @@
     ``addresses`` maps the workers in ``units`` to their addresses, so that a worker
     that is not registered at the moment can still be polled. ``lapses`` maps the
     unreachable ones to the Unix time at which all their runs have ended. The loss of a
-    worker in ``exempt`` is no crash: it drains, or is silent.
+    worker in ``exempt`` is no crash: it drains, or is silent. ``born`` maps workers to
+    the starts of their incarnations, if they say so.
     """
 
     state: str
@@ -55,6 +56,7 @@
     ended_at: float = 0.0
     lapses: dict[str, float] = {}
     exempt: tuple[str, ...] = ()
+    born: dict[str, int] = {}
 
 
 _accepted_decoder = msgspec.msgpack.Decoder(AcceptedJob)
@@ -101,8 +103,11 @@
         w.worker_id: w.runs_expire_at + wall_offset_s for w in known if not w.reachable
     }
     exempt = tuple(w.worker_id for w in known if w.loss_is_explained)
+    born = {w.worker_id: w.entry.born for w in known if w.entry.born}
     return msgspec.msgpack.encode(
-        JobProgress(job.state.value, units, addresses, job.ended_at, expiries, exempt)
+        JobProgress(
+            job.state.value, units, addresses, job.ended_at, expiries, exempt, born
+        )
     )
 
 
