Do not order a worker's incarnations by its clock alone

A worker whose clock was set back before it restarted under its id named an earlier start than before: its entry was taken for an old one, and no answer of it would have been accepted.

An entry with another start than the present one is a later incarnation unless it is known as a former one; an answer of the worker decides in any case. A successor compares records with entries by their order, as an entry may be older than the record; where a clock was set back it charges nothing, as before.

Run: the new row of engine_restarted_workers fails without the change (the second job is not completed); node_crashing_tasks passes.

--- a/features/engine_restarted_workers.feature
+++ b/features/engine_restarted_workers.feature
@@ -11,10 +11,11 @@
     Then both jobs are completed, and each task has started once
 
     Examples:
-      | what                     |
-      | its entry                |
-      | a report                 |
-      | a listing to a successor |
+      | what                                  |
+      | its entry                             |
+      | a report                              |
+      | a listing to a successor              |
+      | an entry by a clock that was set back |
 
   Scenario Outline: A start that may reach its next life is stopped there first
     Guards against two runs of a task, as the next life carries out a late order.
--- a/features/steps/engine_restarted_workers_steps.py
+++ b/features/steps/engine_restarted_workers_steps.py
@@ -61,8 +61,8 @@
             self.make_durable()
             self.started += len(self.start_all())
 
-    def restart(self) -> None:
-        self.listing.restart()
+    def restart(self, *, after_ms=1000) -> None:
+        self.listing.restart(after_ms=after_ms)
         born = self.listing.born
         self.entries[0] = dataclasses.replace(self.entries[0], born=born)
 
@@ -74,11 +74,16 @@
     assert not context.world.listing.ends
 
 
+@when("it starts again under its id, which an entry by a clock that was set back shows")
+def restart_with_former_clock(context):
+    restart_by_entry(context, after_ms=-5000)
+
+
 @when("it starts again under its id, which its entry shows")
-def restart_by_entry(context):
+def restart_by_entry(context, after_ms=1000):
     world = context.world
     context.former = world.worker
-    world.restart()
+    world.restart(after_ms=after_ms)
     world.core.register_worker(world.entries[0], now=world.now)
     world.poll()
 
--- a/features/support/listing_worker.py
+++ b/features/support/listing_worker.py
@@ -21,9 +21,9 @@
         self.ends: list[list] = []
         self._numbers = iter(range(1, 100_000))
 
-    def restart(self) -> None:
+    def restart(self, *, after_ms: int = 1000) -> None:
         """Start again; nothing is known of before, and ends are numbered anew."""
-        self.__init__(born=self.born + 1000)
+        self.__init__(born=self.born + after_ms)
 
     def run(self, placement) -> None:
         self.running.append([format_task(placement.task), placement.run, "", 10])
--- a/src/firladder/_internal/engine/core.py
+++ b/src/firladder/_internal/engine/core.py
@@ -64,17 +64,16 @@
         """
         for worker in list(self.workers.values()):
             jobs = {p.task.job_id for p in worker.placements.values()}
-            born = max(
-                (
-                    recorded[job_id].born.get(worker.worker_id, 0)
-                    for job_id in jobs
-                    if job_id in recorded
-                ),
-                default=0,
-            )
-            if 0 < born < worker.entry.born:
-                entry = worker.entry
-                worker.entry = dataclasses.replace(entry, born=born)
+            lives = {
+                recorded[job_id].born.get(worker.worker_id, 0)
+                for job_id in jobs
+                if job_id in recorded
+            }
+            entry = worker.entry
+            # An entry may be older than the record, if an answer showed the restart.
+            former = max((born for born in lives if born < entry.born), default=0)
+            if former:
+                worker.entry = dataclasses.replace(entry, born=former)
                 self._begin_next_life(worker, entry, now)
 
     def restore_expiries(
--- a/src/firladder/_internal/engine/crashes.py
+++ b/src/firladder/_internal/engine/crashes.py
@@ -19,7 +19,6 @@
 """Runs of a task that may end with a crash of the worker, whatever explains it. Without
 such a limit a task is started without end if each crash has another explanation."""
 
-
 RECENT_ANSWER_S = 0.2
 """Seconds before a start within which an answer shows that its worker was up. A round
 trip takes milliseconds; a worker seldom loses power in the time between."""
--- a/src/firladder/_internal/engine/losses.py
+++ b/src/firladder/_internal/engine/losses.py
@@ -66,8 +66,11 @@
                 self._resolve(worker, placement, None)
 
     def record_restart(self, worker: Worker, born: int, now: float) -> None:
-        """Record that an answer shows a later incarnation under a worker's id."""
-        if born <= worker.entry.born:
+        """Record that an answer shows a later incarnation under a worker's id.
+
+        The answer decides, whatever its entry had said before.
+        """
+        if born == worker.entry.born:
             return
         entry = dataclasses.replace(
             worker.entry, born=born, draining=False, leaves_in_s=None
@@ -84,6 +87,7 @@
         """
         next_life = Worker(
             entry,
+            former_lives=(worker.former_lives | {worker.entry.born}) - {entry.born},
             registered=worker.registered,
             granted_until=worker.granted_until,
             grants_sent=worker.grants_sent,
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -25,12 +25,11 @@
         """Add a worker, or update it with its newest entry; return it."""
         self.profiles.bind(entry)
         worker = self.workers.get(entry.worker_id)
-        if worker is not None and entry.born and worker.entry.born:
-            if entry.born < worker.entry.born:
-                # An answer has shown the next incarnation before its entry came.
-                return worker
-            if entry.born > worker.entry.born:
-                worker = self._begin_next_life(worker, entry, now)
+        if worker is not None and entry.born in worker.former_lives:
+            # An answer has shown the next incarnation before its entry came.
+            return worker
+        if worker is not None and worker.is_next_life(entry.born):
+            worker = self._begin_next_life(worker, entry, now)
         if worker is None:
             worker = self.workers[entry.worker_id] = Worker(entry)
         else:
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -344,7 +344,7 @@
     an explanation for its loss. ``drain_noticed`` says that this leader saw it begin to
     drain. ``lapsed`` has the runs that ended when its leases expired; it is kept until
     ``lapsed_until``. ``ends_complete`` says that its newest report listed all ends that
-    are not acknowledged.
+    are not acknowledged. ``former_lives`` has the starts of its former incarnations.
     """
 
     entry: WorkerEntry
@@ -367,6 +367,7 @@
     last_end_read: int = 0
     last_end_acknowledged: int = 0
     ends_complete: bool = True
+    former_lives: frozenset[int] = frozenset()
     unacknowledged_ends: list[tuple[int, "Job | None", int]] = dataclasses.field(
         default_factory=list
     )
@@ -380,9 +381,17 @@
 
     @property
     def worker_id(self) -> str:
-        """Return the id of this incarnation of the worker."""
+        """Return the worker's id, under which it may have had other incarnations."""
         return self.entry.worker_id
 
+    def is_next_life(self, born: int) -> bool:
+        """Return whether an incarnation that started at ``born`` is a later one.
+
+        Its start may be the earlier one by its clock, which may have been set back.
+        """
+        known = born in (0, self.entry.born) or not self.entry.born
+        return not known and born not in self.former_lives
+
     @property
     def loss_is_explained(self) -> bool:
         """Return whether a loss of the worker now would be no crash.
--- a/src/firladder/_internal/platform/workers.py
+++ b/src/firladder/_internal/platform/workers.py
@@ -224,14 +224,10 @@
         return _classify_refusal(response)
 
 
-def _find_other_life(
-    meant: int, answered: int
-) -> WorkerRestarted | SentUnanswered | None:
+def _find_other_life(meant: int, answered: int) -> WorkerRestarted | None:
     """Return the failure if another incarnation answered than the one meant."""
     if not meant or not answered or meant == answered:
         return None
-    if answered < meant:
-        return SentUnanswered(reason="a former incarnation answered")
     return WorkerRestarted(reason="started again under its id", born=answered)
 
 
