Print the overview of commands without the libraries that commands need

Half a start went into absl.flags, msgspec and the failure types, which the overview does not use: the registry imported them for its annotations, and the entry point for commands.

--- a/src/firladder/_internal/commands/registry.py
+++ b/src/firladder/_internal/commands/registry.py
@@ -4,25 +4,26 @@
 import importlib
 from abc import ABC, abstractmethod
 from collections.abc import Mapping, Sequence
-from typing import ClassVar
+from typing import TYPE_CHECKING, ClassVar
 
-from ..utils.settings import CrossCheck, ResolvedSetting, Setting
+if TYPE_CHECKING:
+    from ..utils.settings import CrossCheck, ResolvedSetting, Setting
 
 
 class Command(ABC):
     """One command of the command line."""
 
     name: ClassVar[str]
-    settings: ClassVar[Sequence[Setting]] = ()
+    settings: ClassVar["Sequence[Setting]"] = ()
     usage: ClassVar[str] = ""
     examples: ClassVar[Sequence[str]] = ()
-    cross_checks: ClassVar[Sequence[CrossCheck]] = ()
+    cross_checks: ClassVar["Sequence[CrossCheck]"] = ()
     takes_any_flag: ClassVar[bool] = False
     """Whether the command parses all its arguments itself, including flags."""
 
     @abstractmethod
     def run(
-        self, settings: Mapping[str, ResolvedSetting], arguments: Sequence[str]
+        self, settings: "Mapping[str, ResolvedSetting]", arguments: Sequence[str]
     ) -> int:
         """Run the command and return its exit code."""
 
