Log what a worker lists otherwise than its leader expects

Tasks ran again after they had ended as done, and no line told what the leader had concluded of their first runs: a restart of the worker under its id, a job whose record was missing, and a lease that counted as expired looked alike.

Four decisions now do, always logged and counted: `end skipped`, `active run not listed`, `done without a run`, and `stray run stopped` with the unit's newest run. Each names the run, the unit's newest run and state, the worker with its `born`, and the last end acknowledged to it. No decision changes.

--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -15,6 +15,7 @@
     record_progress,
     waits_for_members,
 )
+from .run_descriptions import describe_listed
 from .state import Phase, Placement, Unit, UnitState, Worker, find_unit
 
 
@@ -127,6 +128,8 @@
             if end.number > worker.last_end_read:
                 worker.last_end_read = end.number
                 self._read_end(worker, end, now)
+            elif (end.task, end.run) in worker.placements:
+                self._note_skipped_end(worker, end)
         reported_runs = {(row.task, row.run) for row in report.running}
         for row in report.running:
             placement = worker.placements.get((row.task, row.run))
@@ -181,12 +184,24 @@
         need = step.need if step is not None else worker.entry.capacity
         placement = Placement(None, task, run, worker.worker_id, need, Phase.STOPPING)
         worker.placements[placement.key] = placement
-        self.note("stray run stopped", worker=worker.worker_id, job=task.job_id)
+        unit = find_unit(job, task) if job is not None else None
+        self.note("stray run stopped", **describe_listed(worker, task, run, unit))
         self.stops.append(placement)
         return placement
 
+    def _note_skipped_end(self, worker: Worker, end: EndedTask) -> None:
+        """Log an end that counts as read although its run is not known to be over."""
+        job = self.jobs.get(end.task.job_id)
+        unit = find_unit(job, end.task) if job is not None else None
+        listed = describe_listed(worker, end.task, end.run, unit)
+        self.note("end skipped", how=end.ending, number=end.number, **listed)
+
     def _resolve_absent(self, worker: Worker, placement: Placement) -> None:
         if placement.phase is Phase.ACTIVE:
+            listed = describe_listed(
+                worker, placement.task, placement.run, placement.unit
+            )
+            self.note("active run not listed", **listed)
             # It was active and the report lists no end: order a stop, and let the
             # next poll decide.
             placement.reported = False
@@ -202,6 +217,10 @@
         if placement is None or placement.unit is None:
             if placement is not None:
                 del worker.placements[placement.key]
+            unit = find_unit(job, end.task) if job is not None else None
+            if end.ending == "done" and not (unit and unit.state is UnitState.DONE):
+                listed = describe_listed(worker, end.task, end.run, unit)
+                self.note("done without a run", number=end.number, **listed)
             # The end may have been read before, with its record not yet durable.
             version = job.version if job is not None else 0
             worker.unacknowledged_ends.append((end.number, job, version))
--- a/src/firladder/_internal/engine/run_descriptions.py
+++ b/src/firladder/_internal/engine/run_descriptions.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from ..models.order import Ending
+from ..models.order import Ending, TaskId
 from .state import Job, Placement, Unit, Worker
 
 Inputs = dict[str, object]
@@ -44,6 +44,28 @@
     }
 
 
+def describe_listed(
+    worker: Worker, task: TaskId, run: int, unit: Unit | None
+) -> Inputs:
+    """Describe a run that a worker lists, or should list, against what is known of it.
+
+    ``newest_run`` and ``state`` are those of its unit, or None if there is no such
+    unit. ``acknowledged`` is the number of the last end acknowledged to the worker.
+    """
+    return {
+        "job": task.job_id,
+        "step": task.step,
+        "occurrence": task.occurrence,
+        "index": task.index,
+        "run": run,
+        "newest_run": None if unit is None else unit.run,
+        "state": None if unit is None else unit.state.value,
+        "worker": worker.worker_id,
+        "born": worker.entry.born,
+        "acknowledged": worker.last_end_acknowledged,
+    }
+
+
 def describe_job_end(job: Job, run_times: Mapping[tuple[str, int], float]) -> Inputs:
     """Describe a job's end, with what its objective follows from.
 
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -71,13 +71,17 @@
 
 PRIORITY_DECISIONS = frozenset(
     (
+        "active run not listed",
         "crash charged",
+        "done without a run",
+        "end skipped",
         "gang aborted",
         "gang apart",
         "job ended",
         "member ended alone",
         "no worker allowed",
         "runs lapsed",
+        "stray run stopped",
         "ticket rejected",
         "worker lost",
     )
