Take a task for done by a run that counted as over

What callers could see: a task that was done runs a second time, from the start, and its job is late by that run.

Cause: an end that a worker lists without a placement was acknowledged and dropped. A run counts as over when its lease has expired on the leader's clock, or when its worker lists neither the run nor its end. Each of these conclusions may be wrong, and the end as done is the only proof of that. Once it was acknowledged, nothing told any leader that the task must not start again.

Change: such an end completes its unit, whatever is planned or at work since then is stopped, and the end is acknowledged once that is durable. A successor stops what still runs of a unit that is done. Outcomes that a job already has stay.

--- a/src/firladder/_internal/engine/core.py
+++ b/src/firladder/_internal/engine/core.py
@@ -8,7 +8,7 @@
 from .measuring import choose_wait
 from .progress import JobProgress, restore_job
 from .reports import Reports
-from .state import Job, JobState, Worker, build_job
+from .state import Job, JobState, UnitState, Worker, build_job
 
 
 class Core(Reports):
@@ -48,7 +48,10 @@
                     self.unregistered.add(worker)
                 worker.placements[placement.key] = placement
                 worker.exempt |= placement.worker_id in progress.exempt
-            if unit.lacks_members:
+            if unit.state is UnitState.DONE:
+                # A newer run than the one that was done may be at work.
+                self._stop_placements(unit)
+            elif unit.lacks_members:
                 # The former leader had aborted this run. Its remaining members would
                 # hold their workers until they end by themselves.
                 self._abort_run(unit)
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -16,7 +16,7 @@
     waits_for_members,
 )
 from .run_descriptions import describe_listed
-from .state import Phase, Placement, Unit, UnitState, Worker, find_unit
+from .state import Job, Phase, Placement, Unit, UnitState, Worker, find_unit
 
 
 class Reports(Answers):
@@ -217,10 +217,8 @@
         if placement is None or placement.unit is None:
             if placement is not None:
                 del worker.placements[placement.key]
-            unit = find_unit(job, end.task) if job is not None else None
-            if end.ending == "done" and not (unit and unit.state is UnitState.DONE):
-                listed = describe_listed(worker, end.task, end.run, unit)
-                self.note("done without a run", number=end.number, **listed)
+            if end.ending == "done" and job is not None:
+                self._accept_late_done(worker, job, end)
             # The end may have been read before, with its record not yet durable.
             version = job.version if job is not None else 0
             worker.unacknowledged_ends.append((end.number, job, version))
@@ -233,6 +231,20 @@
         version = job.version if job is not None else 0
         worker.unacknowledged_ends.append((end.number, job, version))
 
+    def _accept_late_done(self, worker: Worker, job: Job, end: EndedTask) -> None:
+        """Take a task for done although its run counted as over.
+
+        Once this end is acknowledged, nothing else tells that the task must not start
+        again.
+        """
+        unit = find_unit(job, end.task)
+        if unit is None or unit.state is UnitState.DONE:
+            return
+        listed = describe_listed(worker, end.task, end.run, unit)
+        self.note("done without a run", number=end.number, **listed)
+        if not (job.terminal or unit.step.lasting):
+            self._complete_early(unit)
+
     def _record_outcome(
         self, worker: Worker, placement: Placement, ending: Ending, now: float
     ) -> None:
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -291,13 +291,17 @@
     def _abort_run(self, unit: Unit) -> None:
         if unit.state is UnitState.DONE:
             return
+        self._stop_placements(unit)
+        self._retry_or_fail(unit)
+
+    def _stop_placements(self, unit: Unit) -> None:
+        """Stop all tasks of a unit's run; free those whose start was never due."""
         for placement in list(unit.placements.values()):
             if placement.phase is Phase.PLANNED:
                 placement.phase = Phase.STOPPING
                 self._drop(self.workers.get(placement.worker_id), placement)
             elif placement.phase is not Phase.STOPPING:
                 self._order_stop(placement)
-        self._retry_or_fail(unit)
 
     def _remove_if_unused(self, worker: Worker) -> None:
         """Remove a worker that is not registered and has no state left to keep.
@@ -386,6 +390,16 @@
             unit.state = UnitState.FAILED
             self._end_job(job, JobState.FAILED)
 
+    def _complete_early(self, unit: Unit) -> None:
+        """Record that a unit was done by a run that counted as over.
+
+        What has been started of it since then is stopped.
+        """
+        unit.state = UnitState.DONE
+        self._stop_placements(unit)
+        self._mark_changed(unit.job)
+        self._check_completed(unit.job)
+
     def _check_completed(self, job: Job) -> None:
         if job.terminal:
             return
