Send an acknowledgement only until a poll with it is answered

What callers could see: a task that was done runs again, on a worker that started again under its id.

Cause: each poll repeated the number of the last acknowledged end. A poll that was meant for the former incarnation of a worker and reaches the next one acknowledges what that has ended, although nobody has read it. The leader learns of the next incarnation only with an answer; a start of which the answer was lost may have been carried out there meanwhile.

Change: the number is sent while it is new. An end that was acknowledged once is forgotten by its worker, so that repeating it changes nothing there.

Test: features/engine_restarted_workers.feature, 'A number of its former life acknowledges nothing of its next one', failed before.

--- a/features/engine_restarted_workers.feature
+++ b/features/engine_restarted_workers.feature
@@ -43,3 +43,11 @@
     When it starts again under its id, which a report shows
     And the entry of its former life is read again
     Then it is known by its next life
+
+  Scenario: A number of its former life acknowledges nothing of its next one
+    Guards against ends that are acknowledged unread, so that their tasks start again.
+    Given a worker has done 10 tasks, whose ends were acknowledged
+    And a start was sent to it that got no answer
+    When it starts again under its id, and the task is started and done there
+    And the answer to the next poll is lost
+    Then the task is done, and nothing is started again
--- a/features/steps/engine_restarted_workers_steps.py
+++ b/features/steps/engine_restarted_workers_steps.py
@@ -174,3 +174,32 @@
     world = context.world
     assert not world.core.take_stops(world.now)
     assert [p.run for p in world.start_all()] == [2]
+
+
+@given("a start was sent to it that got no answer")
+def send_another_unanswered(context):
+    context.placement = context.world.start_tasks("second", 1)[0]
+    context.placement.may_start_late = True
+
+
+@when("it starts again under its id, and the task is started and done there")
+def start_in_next_life(context):
+    world = context.world
+    world.restart()
+    world.listing.end(context.placement)
+
+
+@when("the answer to the next poll is lost")
+def lose_answer(context):
+    context.world.listing.answer_poll(context.world.worker)
+
+
+@then("the task is done, and nothing is started again")
+def check_done_once(context):
+    world = context.world
+    world.follow()
+    for placement in world.core.take_stops(world.now):
+        world.core.handle_stop_answer(placement, world.now, world.now)
+    world.follow()
+    assert world.core.read_state("second") is JobState.COMPLETED
+    assert world.started == 11, world.started
--- a/features/support/engine_chaos.py
+++ b/features/support/engine_chaos.py
@@ -268,7 +268,7 @@
             leases.record_grant_answered(
                 worker, grant, sent_at=world.now, now=world.now, lease_s=LEASE_S
             )
-        acknowledged_up_to = worker.find_last_durable_end()
+        acknowledged_up_to = worker.choose_acknowledgement()
         report = sim.poll(self.token, acknowledged_up_to, until, world.now)
         sent_at = world.now
         world.now += 0.001
--- a/features/support/listing_worker.py
+++ b/features/support/listing_worker.py
@@ -44,7 +44,7 @@
 
     def answer_poll(self, worker):
         """Return the answer to a poll of ``worker``, and what it acknowledged."""
-        acknowledged = worker.find_last_durable_end()
+        acknowledged = worker.choose_acknowledgement()
         calls = WorkerCalls(http=self, token=1)
         answer = calls.poll(
             worker.worker_id,
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -207,7 +207,7 @@
             # end of the worker's lease unknown. A worker that does not answer is
             # only polled, and gets its lease once it answers.
             deadline_s = None
-        acknowledged = worker.find_last_durable_end()
+        acknowledged = worker.choose_acknowledgement()
         wait_s = self._choose_wait() if may_wait and deadline_s is None else 0.0
         if wait_s:
             self._waiting_poll_open = True
