Let the workers' stand-ins restart under their ids, and judge each end by itself

Cause: the stand-ins' workers always came back under a new id, so that nothing played what PROTOCOL now allows. The ledger exempted a task for ever once one of its ends was listed by a crashed worker and not acknowledged, also for ends on other workers. A crashing worker could still list its runs as "crashed", which no worker says, and carried out delayed orders while it was down; connections of delayed calls stayed open.

Change: a share of the workers keeps its id, and all then state `born` in their entries and answers and count their clocks and entries anew. A worker can be restarted from outside. While it is down it carries out nothing; a delayed call is for its next incarnation. The ledger keeps each end as done by itself, with whether it was acknowledged, its lease had lapsed before, or its worker went down before: only a start after an end that was lost so is exempt. A problem says whether the end was acknowledged before the start, afterwards or never.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -68,6 +68,16 @@
     return reply_json({})
 
 
+@routes.route("POST", "/restart-workers")
+async def restart_workers(app: PlatformApp, call: HttpCall) -> HttpReply:
+    """Take the workers with these numbers down for ``down_s``, all at one moment."""
+    body = msgspec.json.decode(call.body)
+    chosen = [app.ledger.workers[number] for number in body["numbers"]]
+    restarts = [w.restart(body["down_s"]) for w in chosen if not w.down]
+    app.ledger.tasks.update(map(asyncio.ensure_future, restarts))
+    return reply_json({})
+
+
 @routes.route("POST", "/advice-faults")
 async def set_advice_faults(app: PlatformApp, call: HttpCall) -> HttpReply:
     """Replace the faults of the advice service."""
@@ -78,17 +88,20 @@
 async def send_heartbeats(store: MemoryStore, worker: Worker) -> None:
     """Register a worker at the start and then every 30 heartbeats, unless silent.
 
-    The entry of an incarnation that has crashed is removed three heartbeats later.
+    The entry of an incarnation that has crashed is removed three heartbeats later,
+    unless the next one has registered under its id.
     """
     last_beats: dict[str, int] = {}
-    for seq in itertools.count(1):
-        worker_id = worker.worker_id
+    registered_life = (-1, "")
+    for beat in itertools.count(1):
+        worker_id, life = worker.worker_id, (worker.born, worker.worker_id)
         if not (worker.faults.silent or worker.down):
-            if worker_id not in last_beats or seq % 30 == 0:
-                entry = msgspec.json.encode(worker.describe(seq))
+            if worker_id not in last_beats or life != registered_life or beat % 30 == 0:
+                registered_life = life
+                entry = msgspec.json.encode(worker.describe())
                 await store.put(f"servers/{worker_id}", entry)
-            last_beats[worker_id] = seq
-        former = [w for w, beat in last_beats.items() if seq - beat > MISSED_BEATS]
+            last_beats[worker_id] = beat
+        former = [w for w, last in last_beats.items() if beat - last > MISSED_BEATS]
         for name in former:
             if name != worker_id or worker.down:
                 await store.apply([], [f"servers/{name}"])
@@ -96,6 +109,11 @@
         await asyncio.sleep(HEARTBEAT_S)
 
 
+def is_chosen(number: int, share: float) -> bool:
+    """Return whether the item with this number is in an evenly spread share of all."""
+    return int((number + 1) * share) > int(number * share)
+
+
 async def serve(options: argparse.Namespace) -> None:
     """Start the store and the workers."""
     store, ledger = MemoryStore(options.seed), Ledger()
@@ -106,7 +124,14 @@
     loops = [store.expire_leases()]
     for number, pair in enumerate(options.workers.split(",")):
         address, _, advertised = pair.partition(">")
-        worker = Worker(number, advertised or address, ledger, options.seed)
+        worker = Worker(
+            number,
+            advertised or address,
+            ledger,
+            options.seed,
+            keeps_id=is_chosen(number, options.restart_share),
+            states_birth=options.restart_share > 0,
+        )
         ledger.workers.append(worker)
         worker.listen(address)
         loops += [worker.end_due_runs(), send_heartbeats(store, worker)]
@@ -124,6 +149,13 @@
     )
     parser.add_argument("--advice", help="ip:port of the advice service")
     parser.add_argument("--seed", type=int, default=0)
+    parser.add_argument(
+        "--restart_share",
+        type=float,
+        default=0.0,
+        help="share of the workers that keep their ids; if any do, all say when they "
+        "have started",
+    )
     run_standin(parser, serve)
 
 
--- a/standins/platform_site.py
+++ b/standins/platform_site.py
@@ -114,8 +114,13 @@
         seed: int = 0,
         domains: tuple[str, ...] = ("d",),
         links_mbps: tuple[float, ...] = (1000.0,),
+        restart_share: float = 0.0,
     ) -> None:
-        """Prepare the site; nodes take ``domains`` and ``links_mbps`` in rotation."""
+        """Prepare the site; nodes take ``domains`` and ``links_mbps`` in rotation.
+
+        ``restart_share`` of the workers keep their ids when they restart.
+        """
+        self._restart_share = restart_share
         self._links_mbps = links_mbps
         self._domains = domains
         self._lock, ports = reserve_port_block()
@@ -152,6 +157,7 @@
         workers = zip(self.workers, self.advertised, strict=True)
         command += ["--workers", ",".join(f"{a}>{b}" for a, b in workers)]
         command += ["--seed", str(self.seed), "--advice", self.advice]
+        command += ["--restart_share", str(self._restart_share)]
         self.platform = ChildProcess(
             "platform", command, self.directory / "platform.log"
         )
@@ -209,6 +215,11 @@
         """Replace a worker's faults; those not given are off."""
         call(self.store, "POST", f"/worker-faults/{number}", faults)
 
+    def restart_workers(self, numbers: list[int], *, down_s: float) -> None:
+        """Take these workers down at one moment, for ``down_s`` seconds."""
+        body = {"numbers": numbers, "down_s": down_s}
+        call(self.store, "POST", "/restart-workers", body)
+
     def set_advice_faults(self, **faults: Any) -> None:
         """Replace the faults of the advice service; those not given are off."""
         call(self.store, "POST", "/advice-faults", faults)
--- a/standins/platform_workers.py
+++ b/standins/platform_workers.py
@@ -86,37 +86,95 @@
         return self.task.rpartition(".")[0], self.run
 
 
+@dataclasses.dataclass
+class DoneEnd:
+    """A run that has ended as done on one incarnation of a worker.
+
+    ``lapsed`` says that the worker's lease expired before the end was acknowledged,
+    and ``lost`` that the worker went down before: nobody can acknowledge it any more,
+    so the task may run again.
+    """
+
+    run: int
+    where: str
+    number: int
+    acknowledged: bool = False
+    lapsed: bool = False
+    lost: bool = False
+
+
+@dataclasses.dataclass
+class SecondStart:
+    """A start of a task after an end of it as done that was not lost by then.
+
+    ``end_acknowledged`` says that the end had been acknowledged before the start.
+    """
+
+    task: str
+    run: int
+    where: str
+    late: bool
+    at: float
+    end: DoneEnd
+    end_acknowledged: bool
+
+    def describe(self) -> str:
+        """Return the problem, with when the end was acknowledged."""
+        end = self.end
+        when = "never"
+        if end.acknowledged:
+            when = "before" if self.end_acknowledged else "afterwards"
+        return (
+            f"{self.task} run {self.run} started {'late ' * self.late}on {self.where} "
+            f"at {self.at:.3f} after it was done: end {end.number} of run {end.run} on "
+            f"{end.where}, acknowledged {when}{', lease lapsed' * end.lapsed}"
+        )
+
+
 class Ledger:
     """What all workers of a site have started and finished, for tests to check."""
 
     def __init__(self) -> None:
         """Start empty."""
         self.starts: list[tuple[str, int, str]] = []
-        self.done: set[str] = set()
-        self.unproved: set[str] = set()
+        self.done: dict[str, list[DoneEnd]] = {}
+        self.second_starts: list[SecondStart] = []
         self.failed: set[str] = set()
         self.crashes: Counter[str] = Counter()
-        self.problems: list[str] = []
+        self._problems: list[str] = []
         self.advice = AdviceService()
         self.rejected_tickets: list[str] = []
         self.workers: list[Worker] = []
         self.tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def problems(self) -> list[str]:
+        """Return the violations of rules so far."""
+        return self._problems + [start.describe() for start in self.second_starts]
+
     def record_start(
-        self, worker: "Worker", task: str, run: int, accelerators: int
+        self, worker: "Worker", task: str, run: int, accelerators: int, *, late: bool
     ) -> None:
-        """Record a start, and a problem if it violates a rule."""
+        """Record a start, and a problem if it violates a rule.
+
+        ``late``: the worker carries out the order late, and does not answer it.
+        """
         used = sum(r.accelerators for r in worker.runs.values()) + accelerators
         if used > ACCELERATORS:
-            self.problems.append(f"{task} run {run} brings its worker to {used}")
+            self._problems.append(f"{task} run {run} brings its worker to {used}")
         self.starts.append((task, run, worker.worker_id))
         for other in self.workers:
             if any(r.task == task for r in other.runs.values()):
-                self.problems.append(f"{task} run {run} runs twice")
+                self._problems.append(f"{task} run {run} runs twice")
         if self.crashes[task] >= MAX_CRASHED_STARTS:
-            self.problems.append(f"{task} run {run} crashes yet another worker")
-        if task in self.done - self.unproved:
-            self.problems.append(f"{task} run {run} started after it was done")
+            self._problems.append(f"{task} run {run} crashes yet another worker")
+        self.second_starts += [
+            SecondStart(
+                task, run, worker.name_life(), late, time.time(), end, end.acknowledged
+            )
+            for end in self.done.get(task, ())
+            if not end.lost
+        ]
 
     def list_members(self, run: Run) -> list[tuple["Worker", Run]]:
         """Return the members of a gang's run that have started, with their workers."""
@@ -141,12 +199,30 @@
 class Worker:
     """A worker."""
 
-    def __init__(self, number: int, address: str, ledger: Ledger, seed: int) -> None:
-        """Prepare the worker; the caller makes its server listen."""
+    def __init__(
+        self,
+        number: int,
+        address: str,
+        ledger: Ledger,
+        seed: int,
+        *,
+        keeps_id: bool = False,
+        states_birth: bool = False,
+    ) -> None:
+        """Prepare the worker; the caller makes its server listen.
+
+        With ``keeps_id`` it has the same id after each restart. With ``states_birth``
+        it says when its incarnation has started, and its clock starts anew.
+        """
         self.number = number
         self.lives = itertools.count()
         self.address = address
-        self.down = False
+        self.keeps_id = keeps_id
+        self.states_birth = states_birth
+        self.born = 0
+        self.clock_zero = 0.0
+        self.up = asyncio.Event()
+        self.up.set()
         self.rack = f"r1-{number // 4}"
         self.ledger = ledger
         self.rng = random.Random(seed * 1000 + number)
@@ -158,10 +234,16 @@
     def _begin_life(self) -> None:
         """Begin a new incarnation, which knows nothing of the former one."""
         life = next(self.lives)
-        self.worker_id = f"i-{self.number:04x}" + (f"-{life}" if life else "")
+        renamed = life and not self.keeps_id
+        self.worker_id = f"i-{self.number:04x}" + (f"-{life}" if renamed else "")
+        if self.states_birth:
+            self.born = max(self.born + 1, int(time.time() * 1000))
+            self.clock_zero = time.monotonic()
+        self.seq = itertools.count(1)
         self.runs: dict[tuple[str, int], Run] = {}
         self.highest_runs: dict[str, int] = {}
         self.ended: list[list[Any]] = []
+        self.done_ends: dict[int, DoneEnd] = {}
         self.end_numbers = itertools.count(1)
         self.token = 0
         self.lease_expires_at = 0.0
@@ -173,33 +255,50 @@
         self._listens_on = address
         self.server.listen(address)
 
+    @property
+    def down(self) -> bool:
+        """Return whether the worker is down, and so carries out nothing."""
+        return not self.up.is_set()
+
+    def name_life(self) -> str:
+        """Return the worker's id and, if it says when it started, its incarnation."""
+        return f"{self.worker_id} born {self.born}" if self.born else self.worker_id
+
     async def crash_under(self, key: tuple[str, int]) -> None:
         """Crash because of a run that has just begun, and come back later."""
         await asyncio.sleep(CRASH_DELAY_S)
         if key not in self.runs or self.down:
             return
-        self.down = True
         self.ledger.crashes[key[0]] += 1
-        for other in list(self.runs):
-            if other in self.runs:
-                await self.end(other, "crashed")
-        # Whether these ends were read is not known: their tasks may run again.
-        self.ledger.unproved |= {row[1] for row in self.ended if row[3] == "done"}
+        await self.restart(self.rng.uniform(0.2, 6.0))
+
+    async def restart(self, down_s: float) -> None:
+        """Go down without a word, and come back ``down_s`` seconds later."""
+        if self.down:
+            return
+        self.up.clear()
         for transport in self.transports:
             transport.abortConnection()
+        lost, self.runs = list(self.runs.values()), {}
+        # Nobody can acknowledge these ends any more: their tasks may run again.
+        for end in self.done_ends.values():
+            end.lost = True
+        for run in lost:
+            await self._break_gang(run, "broken")
         await self.server.close()
-        await asyncio.sleep(self.rng.uniform(0.2, 6.0))
+        await asyncio.sleep(down_s)
         self._begin_life()
         self.server.listen(self._listens_on)
-        self.down = False
+        self.up.set()
 
     def read_clock(self) -> float:
         """Return the worker's own steady clock in seconds."""
-        return time.monotonic() * self.rate
+        return (time.monotonic() - self.clock_zero) * self.rate
 
-    def describe(self, seq: int) -> dict[str, Any]:
+    def describe(self) -> dict[str, Any]:
         """Return the entry with which the worker registers in the store."""
         return {
+            **self._state_birth(),
             "backend": "pool-a",
             "address": self.address,
             "zone": "d",
@@ -210,7 +309,7 @@
             "capacity": {"cpu": 32000, "mem_mb": 65536, "gpu": 8},
             "labels": ["a", self.rack],
             "clock_ms": self.read_clock() * 1000,
-            "seq": seq,
+            "seq": next(self.seq),
         }
 
     async def end_due_runs(self) -> None:
@@ -232,29 +331,36 @@
 
     async def end(self, key: tuple[str, int], how: str) -> None:
         """End a run, and with it the other members of its gang."""
-        ended = self.runs.pop(key)
-        if ended.members > 1:
-            shared = "done" if how == "done" else "broken"
-            for worker, other in self.ledger.list_members(ended):
-                if (other.task, other.run) in worker.runs:
-                    await worker._record_end((other.task, other.run), shared)
+        await self._break_gang(
+            self.runs.pop(key), "done" if how == "done" else "broken"
+        )
         await self._record_end(key, how)
 
+    async def _break_gang(self, run: Run, how: str) -> None:
+        """End the other members of a run's gang, if it is one."""
+        if run.members > 1:
+            for worker, other in self.ledger.list_members(run):
+                if (other.task, other.run) in worker.runs:
+                    await worker._record_end((other.task, other.run), how)
+
     async def _record_end(self, key: tuple[str, int], how: str) -> None:
         self.runs.pop(key, None)
         task, run = key
         self.highest_runs[task] = max(run, self.highest_runs.get(task, 0))
+        number = next(self.end_numbers)
         if how == "done":
-            self.ledger.done.add(task)
+            end = self.done_ends[number] = DoneEnd(run, self.name_life(), number)
+            self.ledger.done.setdefault(task, []).append(end)
         if how == "failed":
             self.ledger.failed.add(task)
-        self.ended.append([next(self.end_numbers), task, run, how, ""])
+        self.ended.append([number, task, run, how, ""])
         async with self.changed:
             self.changed.notify_all()
 
     def check_call(self, call: HttpCall, token: int) -> HttpReply | None:
         """Return a rejection if a call is for another incarnation or is fenced off."""
-        self.transports.add(call.transport)
+        if self.down:
+            return HttpReply(503)
         requested = call.headers.get("x-target-instance", self.worker_id)
         if requested != self.worker_id:
             return HttpReply(421)
@@ -266,23 +372,46 @@
     def reply(self, status: int = 200, **fields: Any) -> HttpReply:
         """Return an answer that carries the worker's clock."""
         return reply_json(
-            {"clock_ms": self.read_clock() * 1000, **fields}, status=status
+            {"clock_ms": self.read_clock() * 1000, **self._state_birth(), **fields},
+            status=status,
         )
 
+    def _state_birth(self) -> dict[str, int]:
+        return {"born": self.born} if self.states_birth else {}
+
+    def acknowledge(self, last_seen: int) -> None:
+        """Forget the ends up to a number."""
+        self._note_lapse()
+        for number in [n for n in self.done_ends if n <= last_seen]:
+            self.done_ends.pop(number).acknowledged = True
+        self.ended = [row for row in self.ended if row[0] > last_seen]
+
+    def _note_lapse(self) -> None:
+        if self.read_clock() > self.lease_expires_at:
+            for end in self.done_ends.values():
+                end.lapsed = True
+
     def extend_lease(self, deadline_ms: float) -> None:
         """Extend the lease of all runs, to at most 10 s from now."""
+        self._note_lapse()
         limit = self.read_clock() + 10.0
         self.lease_expires_at = max(
             self.lease_expires_at, min(deadline_ms / 1000, limit)
         )
 
     async def apply_faults(self, call: HttpCall) -> bool:
-        """Apply the faults; return whether the answer must be withheld."""
+        """Apply the faults; return whether the answer must be withheld.
+
+        A call that is delayed until the worker has restarted is for its next
+        incarnation to carry out or to reject.
+        """
+        self.transports.add(call.transport)
         if self.faults.silent:
             await call.disconnected.wait()
             return True
         if self.rng.random() < self.faults.late_share:
             await asyncio.sleep(self.faults.late_s)
+            await self.up.wait()
             return True
         return False
 
@@ -292,13 +421,15 @@
     """Start a run of a task."""
     body = msgspec.json.decode(call.body)
     withheld = await worker.apply_faults(call)
-    reply = worker.check_call(call, body["fencing_token"]) or _start_run(worker, body)
+    reply = worker.check_call(call, body["fencing_token"]) or _start_run(
+        worker, body, late=withheld
+    )
     if withheld:
         await call.disconnected.wait()
     return reply
 
 
-def _start_run(worker: Worker, body: dict[str, Any]) -> HttpReply:
+def _start_run(worker: Worker, body: dict[str, Any], *, late: bool) -> HttpReply:
     task, run = body["task"], body["run"]
     if worker.faults.reject:
         return worker.reply(409, reason="room")
@@ -315,7 +446,7 @@
     worker.extend_lease(body["deadline_ms"])
     begun = Run(task, run, time.monotonic(), float(takes), int(accelerators))
     begun.members = int(members)
-    worker.ledger.record_start(worker, task, run, begun.accelerators)
+    worker.ledger.record_start(worker, task, run, begun.accelerators, late=late)
     worker.runs[task, run] = begun
     worker.ledger.begin_run(begun, time.monotonic())
     if "crash" in rest:
@@ -345,6 +476,7 @@
 async def hold(worker: Worker, call: HttpCall) -> HttpReply:
     """Extend the lease and return the running and ended runs, waiting for an end."""
     body = msgspec.json.decode(call.body)
+    worker.transports.add(call.transport)
     if worker.faults.silent:
         await call.disconnected.wait()
     refused = worker.check_call(call, body["fencing_token"])
@@ -352,7 +484,7 @@
         return refused
     if "deadline_ms" in body:
         worker.extend_lease(body["deadline_ms"])
-    worker.ended = [row for row in worker.ended if row[0] > body["last_seen"]]
+    worker.acknowledge(body["last_seen"])
     if not worker.ended and body.get("wait_ms"):
         async with worker.changed:
             with contextlib.suppress(TimeoutError):
