Restart workers in the soak, some under their ids

Cause: the second starts after done were not reproduced with real processes, as no fault restarted workers under their ids.

Without it the draws of a seed are the same as before.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -37,6 +37,12 @@
 
 MAX_ANSWER_S = 10.0
 CLIENT_COUNT = 4
+RESTARTED_WORKERS = 8
+WIDE_SHARE = 0.4
+RESTART_WEIGHT = 4
+"""Workers, share of jobs with dozens of tasks, and how much likelier a restart is than
+another fault, in runs with restarted workers."""
+
 MEAN_FAULT_GAP_S = 0.6
 """Mean seconds between two faults; each lasts some seconds, so that they overlap."""
 
@@ -67,14 +73,17 @@
         *,
         crash_share: float,
         advised_share: float,
+        wide_share: float,
     ) -> None:
         """Prepare a client whose job ids begin at ``number << 32``.
 
-        ``crash_share`` of its jobs crash each worker that starts them, and
-        ``advised_share`` go to the queue with advice.
+        ``crash_share`` of its jobs crash each worker that starts them,
+        ``advised_share`` go to the queue with advice, and ``wide_share`` have dozens
+        of small tasks.
         """
         self.crash_share = crash_share
         self.advised_share = advised_share
+        self.wide_share = wide_share
         super().__init__(daemon=True)
         self.site = site
         self.rng = rng
@@ -101,6 +110,8 @@
         # A gang that takes four whole workers would fit nowhere and wait forever.
         gpu = self.rng.choice([1, 2, 4] if gang else [1, 2, 4, 8])
         crashes = bool(self.crash_share) and self.rng.random() < self.crash_share
+        if not crashes and self.wide_share and self.rng.random() < self.wide_share:
+            count, gang, gpu = self.rng.randint(12, 60), False, 0
         job = Submission(f"{next(self.numbers):016x}", count, crashes=crashes)
         self.jobs.append(job)
         step = {"count": count, "cpu": 500, "mem_mb": 100, "gpu": gpu, "gang": gang}
@@ -199,13 +210,24 @@
         domains: int = 1,
         crash_share: float = 0.0,
         advised_share: float = 0.0,
+        restart_share: float = 0.0,
     ) -> None:
         """Start all processes; nodes take the failure domains in rotation."""
         self.rng = random.Random(seed)
         self.faults = {**FAULTS, **(ADVICE_FAULTS if advised_share else {})}
+        self.fault_names = sorted(self.faults)
+        if restart_share:
+            self.faults |= RESTART_FAULTS
+            self.fault_names += [*RESTART_FAULTS] * RESTART_WEIGHT
         self.proxy = Proxy()
         names = tuple(f"domain-{n}" for n in range(domains))
-        self.site = PlatformSite(nodes=nodes, workers=workers, seed=seed, domains=names)
+        self.site = PlatformSite(
+            nodes=nodes,
+            workers=RESTARTED_WORKERS if restart_share else workers,
+            seed=seed,
+            domains=names,
+            restart_share=restart_share,
+        )
         self.site.route_through(self.proxy)
         self.site.start()
         self.down: set[int] = set()
@@ -218,6 +240,7 @@
                 n + 1,
                 crash_share=crash_share,
                 advised_share=advised_share,
+                wide_share=WIDE_SHARE if restart_share else 0.0,
             )
             for n in range(CLIENT_COUNT)
         ]
@@ -233,7 +256,7 @@
                 pending.remove((due, end))
                 end()
             self._restart_ended_nodes()
-            name = self.rng.choice(sorted(self.faults))
+            name = self.rng.choice(self.fault_names)
             self.log.append(f"{now:.2f} {name}")
             pending.append((now + self.rng.uniform(0.5, 4.0), self.faults[name](self)))
             time.sleep(self.rng.expovariate(1 / MEAN_FAULT_GAP_S))
@@ -491,6 +514,18 @@
 """Faults of runs with advised jobs only: others keep the schedules of their seeds."""
 
 
+def restart_workers(soak: Soak) -> Callable[[], None]:
+    """Restart several workers at one moment."""
+    numbers = range(len(soak.site.workers))
+    chosen = soak.rng.sample(numbers, soak.rng.randint(2, len(numbers) // 2))
+    soak.site.restart_workers(chosen, down_s=soak.rng.uniform(0.1, 3.0))
+    return lambda: None
+
+
+RESTART_FAULTS: dict[str, Fault] = {"restart_workers": restart_workers}
+"""Faults of runs with restarted workers only, for the same reason."""
+
+
 def run_seed(
     seed: int,
     seconds: float,
@@ -498,6 +533,7 @@
     domains: int = 1,
     crash_share: float = 0.0,
     advised_share: float = 0.0,
+    restart_share: float = 0.0,
 ) -> bool:
     """Run one seed, print the problems and return whether there were none."""
     soak = Soak(
@@ -505,6 +541,7 @@
         domains=domains,
         crash_share=crash_share,
         advised_share=advised_share,
+        restart_share=restart_share,
     )
     problems = ["the soak run was aborted"]
     try:
@@ -550,6 +587,13 @@
         default=0.0,
         help="share of jobs for the queue with advice",
     )
+    parser.add_argument(
+        "--restart_share",
+        type=float,
+        default=0.0,
+        help="share of workers that keep their ids when they restart; adds restarts "
+        "of several workers at one moment, and jobs with dozens of tasks",
+    )
     options = parser.parse_args()
     first_seed = options.seed if options.seed is not None else int(time.time())
     results = [
@@ -559,6 +603,7 @@
             domains=options.domains,
             crash_share=options.crash_share,
             advised_share=options.advised_share,
+            restart_share=options.restart_share,
         )
         for n in range(options.seeds)
     ]
