Show that polls meant for a worker's former life take ends of the next off its list

Cause: every poll carries the number of the last end that was acknowledged. Until an answer or an entry shows the next incarnation, whose ends are numbered anew, such polls make it forget ends that nobody has read: their tasks start again after they ended as done, with the ends taken note of.

Change: a scenario for ends that were acknowledged before, and for ends whose acknowledgement got no answer. Both fail on this code (second job started again).

--- a/features/engine_restarted_workers.feature
+++ b/features/engine_restarted_workers.feature
@@ -43,3 +43,20 @@
     When it starts again under its id, which a report shows
     And the entry of its former life is read again
     Then it is known by its next life
+
+  Scenario Outline: A poll meant for its former life acknowledges no end of the next one
+    Guards against tasks that run again, as a poll without an answer has taken their
+    ends off the worker's list under the numbers of the former life.
+    Given a worker has done 10 tasks, whose ends were <ends>
+    And 10 other tasks are to start there
+    When a poll reaches it, but not its answer the leader
+    And it starts again under its id, and nothing shows that yet
+    And these tasks are started and done there, and no answer comes from it
+    And the leader polls it 3 times without an answer
+    And answers come again, and stops are carried out
+    Then both jobs are completed, and each task has started once
+
+    Examples:
+      | ends                          |
+      | acknowledged                  |
+      | read, but not acknowledged yet |
--- a/features/steps/engine_restarted_workers_steps.py
+++ b/features/steps/engine_restarted_workers_steps.py
@@ -5,7 +5,7 @@
 from features.support.engine_world import EngineWorld, make_job
 from features.support.listing_worker import ListingWorker
 from firladder._internal.engine.state import JobState
-from firladder._internal.exceptions import WorkerRestarted
+from firladder._internal.exceptions import SentUnanswered, WorkerRestarted
 from firladder._internal.models.order import WorkerReport
 from firladder._internal.models.workload import Resources, Step
 
@@ -74,6 +74,34 @@
     assert not context.world.listing.ends
 
 
+@given(
+    "a worker has done {count:d} tasks, whose ends were read, but not acknowledged yet"
+)
+def do_unacknowledged(context, count):
+    world = context.world = RestartWorld()
+    placements = world.start_tasks("first", count)
+    world.accept(placements)
+    for placement in placements:
+        world.listing.end(placement)
+    world.poll()
+    world.make_durable()
+
+
+@given("{count:d} other tasks are to start there")
+def plan_others(context, count):
+    context.count = count
+    context.placements = context.world.start_tasks("second", count)
+
+
+@when("a poll reaches it, but not its answer the leader")
+def lose_answer(context):
+    world = context.world
+    world.now += 0.3
+    world.listing.answer_poll(world.worker)
+    failure = SentUnanswered(reason="no answer")
+    world.core.record_no_answer(world.worker, failure, world.now)
+
+
 @when("it starts again under its id, which an entry by a clock that was set back shows")
 def restart_with_former_clock(context):
     restart_by_entry(context, after_ms=-5000)
@@ -117,6 +145,36 @@
     world.core.register_worker(entry, now=world.now)
 
 
+@when("it starts again under its id, and nothing shows that yet")
+def restart_unseen(context):
+    context.world.restart()
+
+
+@when("these tasks are started and done there, and no answer comes from it")
+def do_unanswered(context):
+    world = context.world
+    for placement in context.placements:
+        placement.may_start_late = True
+        failure = SentUnanswered(reason="no answer")
+        world.core.handle_start_answer(placement, failure, world.now)
+        world.listing.end(placement)
+
+
+@when("the leader polls it {times:d} times without an answer")
+def poll_unanswered(context, times):
+    for _ in range(times):
+        lose_answer(context)
+
+
+@when("answers come again, and stops are carried out")
+def answer_again(context):
+    world = context.world
+    for _ in range(3):
+        for placement in world.core.take_stops(world.now):
+            world.core.handle_stop_answer(placement, world.now, world.now)
+        world.follow()
+
+
 @then("it is known by its next life")
 def check_life(context):
     assert context.world.worker.entry.born == context.world.listing.born > BORN
