--- a/standins/platform_workers.py
+++ b/standins/platform_workers.py
@@ -85,6 +85,11 @@
         """Return the key that all members of one run of a gang share."""
         return self.task.rpartition(".")[0], self.run
 
+    @property
+    def unit(self) -> str:
+        """Return the name of the step of a gang, of which one end stands for all."""
+        return self.task if self.members == 1 else self.gang[0]
+
 
 @dataclasses.dataclass
 class DoneEnd:
@@ -137,7 +142,8 @@
     def __init__(self) -> None:
         """Start empty."""
         self.starts: list[tuple[str, int, str]] = []
-        self.done: dict[str, list[DoneEnd]] = {}
+        self.done: set[str] = set()
+        self.done_ends: dict[str, list[DoneEnd]] = {}
         self.second_starts: list[SecondStart] = []
         self.failed: set[str] = set()
         self.crashes: Counter[str] = Counter()
@@ -152,14 +158,13 @@
         """Return the violations of rules so far."""
         return self._problems + [start.describe() for start in self.second_starts]
 
-    def record_start(
-        self, worker: "Worker", task: str, run: int, accelerators: int, *, late: bool
-    ) -> None:
+    def record_start(self, worker: "Worker", begun: Run, *, late: bool) -> None:
         """Record a start, and a problem if it violates a rule.
 
         ``late``: the worker carries out the order late, and does not answer it.
         """
-        used = sum(r.accelerators for r in worker.runs.values()) + accelerators
+        task, run = begun.task, begun.run
+        used = sum(r.accelerators for r in worker.runs.values()) + begun.accelerators
         if used > ACCELERATORS:
             self._problems.append(f"{task} run {run} brings its worker to {used}")
         self.starts.append((task, run, worker.worker_id))
@@ -168,14 +173,21 @@
                 self._problems.append(f"{task} run {run} runs twice")
         if self.crashes[task] >= MAX_CRASHED_STARTS:
             self._problems.append(f"{task} run {run} crashes yet another worker")
+        ends = [e for e in self.done_ends.get(begun.unit, ()) if not e.lost]
+        # Of the members of a gang, the one whose end was acknowledged decides.
+        by_run = {e.run: e for e in sorted(ends, key=lambda e: e.acknowledged)}
         self.second_starts += [
             SecondStart(
                 task, run, worker.name_life(), late, time.time(), end, end.acknowledged
             )
-            for end in self.done.get(task, ())
-            if not end.lost
+            for end in by_run.values()
         ]
 
+    def record_done(self, run: Run, end: DoneEnd) -> None:
+        """Record that a worker lists a run as done."""
+        self.done.add(run.task)
+        self.done_ends.setdefault(run.unit, []).append(end)
+
     def list_members(self, run: Run) -> list[tuple["Worker", Run]]:
         """Return the members of a gang's run that have started, with their workers."""
         return [
@@ -279,11 +291,9 @@
         self.up.clear()
         for transport in self.transports:
             transport.abortConnection()
-        lost, self.runs = list(self.runs.values()), {}
-        # Nobody can acknowledge these ends any more: their tasks may run again.
-        for end in self.done_ends.values():
-            end.lost = True
-        for run in lost:
+        ended, self.runs = list(self.runs.values()), {}
+        self.lose_ends()
+        for run in ended:
             await self._break_gang(run, "broken")
         await self.server.close()
         await asyncio.sleep(down_s)
@@ -291,6 +301,11 @@
         self.server.listen(self._listens_on)
         self.up.set()
 
+    def lose_ends(self) -> None:
+        """Note that nobody can acknowledge these ends any more."""
+        for end in self.done_ends.values():
+            end.lost = True
+
     def read_clock(self) -> float:
         """Return the worker's own steady clock in seconds."""
         return (time.monotonic() - self.clock_zero) * self.rate
@@ -331,26 +346,24 @@
 
     async def end(self, key: tuple[str, int], how: str) -> None:
         """End a run, and with it the other members of its gang."""
-        await self._break_gang(
-            self.runs.pop(key), "done" if how == "done" else "broken"
-        )
-        await self._record_end(key, how)
+        run = self.runs.pop(key)
+        await self._break_gang(run, "done" if how == "done" else "broken")
+        await self._record_end(run, how)
 
     async def _break_gang(self, run: Run, how: str) -> None:
         """End the other members of a run's gang, if it is one."""
         if run.members > 1:
             for worker, other in self.ledger.list_members(run):
-                if (other.task, other.run) in worker.runs:
-                    await worker._record_end((other.task, other.run), how)
+                if worker.runs.pop((other.task, other.run), None) is not None:
+                    await worker._record_end(other, how)
 
-    async def _record_end(self, key: tuple[str, int], how: str) -> None:
-        self.runs.pop(key, None)
-        task, run = key
+    async def _record_end(self, ended: Run, how: str) -> None:
+        task, run = ended.task, ended.run
         self.highest_runs[task] = max(run, self.highest_runs.get(task, 0))
         number = next(self.end_numbers)
         if how == "done":
             end = self.done_ends[number] = DoneEnd(run, self.name_life(), number)
-            self.ledger.done.setdefault(task, []).append(end)
+            self.ledger.record_done(ended, end)
         if how == "failed":
             self.ledger.failed.add(task)
         self.ended.append([number, task, run, how, ""])
@@ -446,7 +459,7 @@
     worker.extend_lease(body["deadline_ms"])
     begun = Run(task, run, time.monotonic(), float(takes), int(accelerators))
     begun.members = int(members)
-    worker.ledger.record_start(worker, task, run, begun.accelerators, late=late)
+    worker.ledger.record_start(worker, begun, late=late)
     worker.runs[task, run] = begun
     worker.ledger.begin_run(begun, time.monotonic())
     if "crash" in rest:
