Keep all problems of a soak with its logs

Cause: of hundreds of problems only ten were printed. Change: a soak with problems writes them to problems.txt in its directory.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -558,6 +558,7 @@
     )
     print("".join(f"{line}\n" for line in soak.log if "started again" in line), end="")
     if problems:
+        (soak.site.directory / "problems.txt").write_text("\n".join(problems))
         print("\n".join(problems[:10]))
         print(f"faults: {soak.log}\nanswers: {dict(answers)}")
         print(f"logs: {soak.site.directory}", flush=True)
