Acknowledge ends only to a worker that answers

Cause: an acknowledgement whose poll got no answer was repeated while the worker was silent. By then another incarnation may be there, whose ends have these numbers.

Change: polls of a worker that does not answer acknowledge nothing.

Test: features/engine_restarted_workers.feature, 'A poll meant for its former life acknowledges no end of the next one', second example, failed with the number sent until it was answered; 12 scenarios pass now.

--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -467,12 +467,14 @@
     def choose_acknowledgement(self) -> int:
         """Return the number of the last end that the next poll acknowledges, or 0.
 
-        Each is sent only until a poll with it is answered. If the worker starts again
-        under its id, the number would acknowledge ends of its next incarnation that
-        nobody has read.
+        It is sent only until a poll with it is answered, and only while the worker
+        answers. If the worker has started again under its id, the number acknowledges
+        ends of its next incarnation that nobody has read.
         """
         number = self.find_last_durable_end()
-        return number if number > self.last_end_acknowledged else 0
+        if not self.reachable or number <= self.last_end_acknowledged:
+            return 0
+        return number
 
     def drop_acknowledged_ends(self, number: int) -> None:
         """Drop the ends up to ``number``, which were acknowledged to the worker."""
