Keep jobs from being added again after their deletion

Cause: the deletion of an old job compared no key. Carried out late, it could reach the store between a successor's listings of jobs and of progress: the successor read the job without its progress, took it for new, and planned all its tasks. Its first starts were refused as old, those with run number 2 were carried out. In the same way a job that a leader had deleted was added again by a listing, a change or an announcement from before.

Change: a deletion compares the leader's key. The core remembers when a deleted job was accepted, and adds no record of that id that is not newer. Ends of a job that were read while it was deleted no longer wait for a record that is never written.

--- a/src/firladder/_internal/engine/core.py
+++ b/src/firladder/_internal/engine/core.py
@@ -1,6 +1,7 @@
 """The scheduling core: takes events and returns orders; time is passed in."""
 
 import dataclasses
+import math
 from collections.abc import Mapping
 
 from ..models.workload import AcceptedJob, WorkerEntry
@@ -10,15 +11,26 @@
 from .reports import Reports
 from .state import Job, JobState, Worker, build_job
 
+MAX_FORGOTTEN_KNOWN = 20_000
+"""Deleted jobs that a leader remembers: those of more than an hour."""
+
 
 class Core(Reports):
     """Everything that a leader decides during its term, from job to outcome."""
 
-    def add_job(self, accepted: AcceptedJob, progress: JobProgress | None) -> Job:
-        """Add a job to the schedule, at its recorded progress; return it."""
+    def add_job(
+        self, accepted: AcceptedJob, progress: JobProgress | None
+    ) -> Job | None:
+        """Add a job to the schedule, at its recorded progress; return it.
+
+        Return None for a deleted job, of which an old listing or message may tell: it
+        has no progress any more, and would run again.
+        """
         known = self.jobs.get(accepted.job_id)
         if known is not None:
             return known
+        if accepted.accepted_at_s <= self.forgotten.get(accepted.job_id, -math.inf):
+            return None
         job = self.jobs[accepted.job_id] = build_job(accepted)
         if progress is not None:
             restore_job(job, progress)
@@ -125,7 +137,13 @@
 
     def forget_job(self, job_id: str) -> None:
         """Drop a job whose retention time is over."""
-        self.jobs.pop(job_id, None)
+        job = self.jobs.pop(job_id, None)
+        if job is not None:
+            # Nothing of it will be stored that its last ends could wait for.
+            job.durable_version = job.version
+            self.forgotten[job_id] = job.accepted.accepted_at_s
+        if len(self.forgotten) > MAX_FORGOTTEN_KNOWN:
+            del self.forgotten[next(iter(self.forgotten))]
         self.dirty.pop(job_id, None)
         self.early_cancels.discard(job_id)
         self.speeds.forget_job(job_id)
--- a/src/firladder/_internal/node/retention.py
+++ b/src/firladder/_internal/node/retention.py
@@ -5,9 +5,9 @@
 
 from ..engine.core import Core
 from ..exceptions import Failure
-from ..platform.store import PlatformStore
+from ..platform.store import Conflict, PlatformStore
 from ..utils.clocks import Clock
-from .keys import CANCELS, JOBS, PROGRESS
+from .keys import CANCELS, JOBS, LEADER, PROGRESS
 
 logger = logging.getLogger(__name__)
 
@@ -22,24 +22,31 @@
 
 
 class Retention:
-    """Deletes jobs that ended long ago from the store and the core."""
+    """Deletes jobs that ended long ago from the store and the core.
+
+    Each deletion compares the leader's key. A late one could otherwise reach the store
+    while a successor reads it, which would find the job without its progress.
+    """
 
     def __init__(
         self,
         *,
         core: Core,
         store: PlatformStore,
+        token: int,
         clock: Clock,
         retention_s: float,
         revisions: dict[str, int],
     ) -> None:
         """Keep ended jobs for ``retention_s`` seconds.
 
+        Jobs are deleted only while the leader's key has the revision ``token``.
         ``revisions`` holds the revision of each progress record, by job ID; those of
         deleted jobs are removed.
         """
         self._core = core
         self._store = store
+        self._token = token
         self._clock = clock
         self._retention_s = retention_s
         self._revisions = revisions
@@ -61,7 +68,12 @@
         ]
         for job_id in old[:MAX_JOBS_PER_SWEEP]:
             keys = [JOBS + job_id, CANCELS + job_id, PROGRESS + job_id]
-            result = await self._store.commit(expected=[], remove=keys)
+            result = await self._store.commit(
+                expected=[(LEADER, self._token)], remove=keys
+            )
+            if isinstance(result, Conflict):
+                logger.info("an old job is left to another leader")
+                return
             if isinstance(result, Failure):
                 logger.info("failed to delete an old job: %s", result.reason)
                 return
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -168,6 +168,7 @@
         self._retention = Retention(
             core=self.core,
             store=store,
+            token=leadership.token,
             clock=clock,
             retention_s=settings.retention_s,
             revisions=self._revisions,
