Leave jobs alone whose records cannot be read

Cause: a leader that could not decode the progress of a job added it as new and started every task again; its first starts were refused as old, those with run number 2 were carried out after ends as done. An unknown state raised ValueError and ended the load, so that nobody led. Ends of a job whose submission could not be decoded were acknowledged at once, and a leader that could read it ran its tasks again. A record that names units or tasks which the job lacks was restored in part. Callers were shown the job as queued.

Change: such a job is set aside. No task of it starts, runs of it are stopped as strays, and no end from the first of its ends on is acknowledged to that worker, so that a leader which can read the records finds them. The states of records are decoded as such; the format is unchanged. Nodes that read progress which cannot be decoded answer that the outcome is unknown.

--- a/src/firladder/_internal/engine/core.py
+++ b/src/firladder/_internal/engine/core.py
@@ -7,7 +7,7 @@
 from ..models.workload import AcceptedJob, WorkerEntry
 from .leases import LATE_ORDER_S, convert_recorded_expiry, estimate_inherited_expiry
 from .measuring import choose_wait
-from .progress import JobProgress, restore_job
+from .progress import JobProgress, find_misfit, restore_job
 from .reports import Reports
 from .state import Job, JobState, Worker, build_job
 
@@ -24,14 +24,22 @@
         """Add a job to the schedule, at its recorded progress; return it.
 
         Return None for a deleted job, of which an old listing or message may tell: it
-        has no progress any more, and would run again.
+        has no progress any more, and would run again. The same holds for a job that is
+        set aside, and one whose progress does not fit it.
         """
         known = self.jobs.get(accepted.job_id)
         if known is not None:
             return known
         if accepted.accepted_at_s <= self.forgotten.get(accepted.job_id, -math.inf):
             return None
-        job = self.jobs[accepted.job_id] = build_job(accepted)
+        if accepted.job_id in self.set_aside:
+            return None
+        job = build_job(accepted)
+        misfit = None if progress is None else find_misfit(job, progress)
+        if misfit is not None:
+            self.set_job_aside(accepted.job_id, misfit.reason)
+            return None
+        self.jobs[accepted.job_id] = job
         if progress is not None:
             restore_job(job, progress)
             self.charged |= any(unit.crashes for unit in job.units)
@@ -40,6 +48,17 @@
             self.cancel_job(accepted.job_id)
         return job
 
+    def set_job_aside(self, job_id: str, reason: str) -> None:
+        """Leave a job alone whose records cannot be read.
+
+        A leader of another version may be able to read them. Until then no task of the
+        job starts, and the ends that workers list of it are not acknowledged.
+        """
+        if job_id in self.set_aside or job_id in self.jobs:
+            return
+        self.set_aside.add(job_id)
+        self.note("job set aside", job=job_id, reason=reason)
+
     def _adopt_placements(self, job: Job, progress: JobProgress) -> None:
         for unit in job.units:
             for placement in unit.placements.values():
--- a/src/firladder/_internal/engine/progress.py
+++ b/src/firladder/_internal/engine/progress.py
@@ -32,7 +32,7 @@
     """The progress of a unit that has left its initial state."""
 
     number: int
-    state: str
+    state: UnitState
     run: int
     failed_runs: tuple[int, ...]
     checkpoint: str
@@ -50,7 +50,7 @@
     the starts of their incarnations, if they say so.
     """
 
-    state: str
+    state: JobState
     units: tuple[UnitProgress, ...]
     addresses: dict[str, str] = {}
     ended_at: float = 0.0
@@ -86,7 +86,7 @@
     units = tuple(
         UnitProgress(
             number,
-            unit.state.value,
+            unit.state,
             unit.run,
             tuple(sorted(unit.failed_runs)),
             unit.checkpoint,
@@ -105,9 +105,7 @@
     exempt = tuple(w.worker_id for w in known if w.loss_is_explained)
     born = {w.worker_id: w.entry.born for w in known if w.entry.born}
     return msgspec.msgpack.encode(
-        JobProgress(
-            job.state.value, units, addresses, job.ended_at, expiries, exempt, born
-        )
+        JobProgress(job.state, units, addresses, job.ended_at, expiries, exempt, born)
     )
 
 
@@ -126,24 +124,36 @@
     was refused by its workers.
     """
     return any(
-        unit.placed or unit.failed_runs or UnitState(unit.state) in ENDED
+        unit.placed or unit.failed_runs or unit.state in ENDED
         for unit in progress.units
     )
 
 
+def find_misfit(job: Job, progress: JobProgress) -> MalformedBody | None:
+    """Return why a record is not one of this job, or None if it may be."""
+    for recorded in progress.units:
+        if not 0 <= recorded.number < len(job.units):
+            return MalformedBody(reason=f"the job has no unit {recorded.number}")
+        indices = {placed.index for placed in recorded.placed}
+        if not indices.issubset(job.units[recorded.number].indices):
+            return MalformedBody(
+                reason=f"unit {recorded.number} lacks a task of {sorted(indices)}"
+            )
+    return None
+
+
 def restore_job(job: Job, progress: JobProgress) -> None:
     """Restore the recorded progress of a newly built job."""
-    job.state = JobState(progress.state)
+    job.state = progress.state
     job.ended_at = progress.ended_at
     if job.state is JobState.QUEUED and may_have_begun(progress):
         job.state = JobState.RUNNING
     for recorded in progress.units:
-        if recorded.number < len(job.units):
-            _restore_unit(job.units[recorded.number], recorded)
+        _restore_unit(job.units[recorded.number], recorded)
 
 
 def _restore_unit(unit: Unit, recorded: UnitProgress) -> None:
-    unit.state = UnitState(recorded.state)
+    unit.state = recorded.state
     unit.run = recorded.run
     unit.failed_runs = set(recorded.failed_runs)
     unit.crashes = set(recorded.crashes)
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -126,6 +126,8 @@
         for end in report.ended:
             if end.number > worker.last_end_read:
                 worker.last_end_read = end.number
+                if end.task.job_id in self.set_aside:
+                    worker.keep_ends_from(end.number)
                 self._read_end(worker, end, now)
         reported_runs = {(row.task, row.run) for row in report.running}
         for row in report.running:
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -102,6 +102,8 @@
         self.charged = False
         """Whether some unit was charged with a crash, which is rare."""
         self.early_cancels: set[str] = set()
+        self.set_aside: set[str] = set()
+        """Jobs whose records cannot be read."""
         self.forgotten: dict[str, float] = {}
         """When each deleted job was accepted, in Unix time."""
         self.evacuated: frozenset[str] = frozenset()
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -366,6 +366,7 @@
     clock_offset_s: float | None = None
     last_end_read: int = 0
     last_end_acknowledged: int = 0
+    first_kept_end: float = math.inf
     ends_complete: bool = True
     former_lives: frozenset[int] = frozenset()
     unacknowledged_ends: list[tuple[int, "Job | None", int]] = dataclasses.field(
@@ -459,11 +460,17 @@
         """Return the number of the last end up to which all ends are durable."""
         last_durable = self.last_end_acknowledged
         for number, job, version in self.unacknowledged_ends:
+            if number >= self.first_kept_end:
+                break
             if job is not None and job.durable_version < version:
                 break
             last_durable = number
         return last_durable
 
+    def keep_ends_from(self, number: int) -> None:
+        """Acknowledge no end from ``number`` on: its job's records cannot be read."""
+        self.first_kept_end = min(self.first_kept_end, number)
+
     def drop_acknowledged_ends(self, number: int) -> None:
         """Drop the ends up to ``number``, which were acknowledged to the worker."""
         self.last_end_acknowledged = max(self.last_end_acknowledged, number)
--- a/src/firladder/_internal/evaluation/day_records.py
+++ b/src/firladder/_internal/evaluation/day_records.py
@@ -41,6 +41,7 @@
             found = decode_progress(value)
             if isinstance(found, MalformedBody):
                 logger.error("cannot decode the progress of %s: %s", job_id, found)
+                core.set_job_aside(job_id, found.reason)
             else:
                 recorded[job_id] = found
         for job_id, accepted in self._accepted.items():
--- a/src/firladder/_internal/node/records.py
+++ b/src/firladder/_internal/node/records.py
@@ -173,7 +173,7 @@
         if isinstance(accepted, NotFound):
             return JobGone(reason="no job has this id")
         state = _read_progress(progress) if isinstance(progress, Item) else None
-        if state in TERMINAL:
+        if isinstance(state, OutcomeUnknown) or state in TERMINAL:
             return state
         if isinstance(cancelled, Item):
             return JobState.CANCELLED
@@ -189,12 +189,11 @@
         return OutcomeUnknown(reason=found.reason)
 
 
-def _read_progress(item: Item) -> JobState | None:
+def _read_progress(item: Item) -> JobState | OutcomeUnknown:
     progress = decode_progress(item.value)
     if isinstance(progress, MalformedBody):
         logger.error("cannot decode progress record %s: %s", item.key, progress.reason)
-        return None
-    state = JobState(progress.state)
-    if state is JobState.QUEUED and may_have_begun(progress):
+        return OutcomeUnknown(reason="the record of the job's progress cannot be read")
+    if progress.state is JobState.QUEUED and may_have_begun(progress):
         return JobState.RUNNING
-    return state
+    return progress.state
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -75,6 +75,7 @@
         "gang aborted",
         "gang apart",
         "job ended",
+        "job set aside",
         "member ended alone",
         "no worker allowed",
         "runs lapsed",
@@ -293,6 +294,7 @@
                 logger.error(
                     "cannot decode the progress of job %s: %s", job_id, found.reason
                 )
+                self.core.set_job_aside(job_id, found.reason)
                 continue
             recorded[job_id] = found
         for item in submissions.items:
@@ -384,17 +386,23 @@
         if not key.startswith(JOBS):
             return
         job_id = key.removeprefix(JOBS)
-        if job_id not in self.core.jobs:
-            self.add_record(value, recorded.get(job_id))
-
-    def add_record(self, value: bytes, progress: JobProgress | None = None) -> None:
-        """Add a stored job to the schedule."""
+        if job_id in self.core.jobs or job_id in self.core.set_aside:
+            return
+        failure = self.add_record(value, recorded.get(job_id))
+        if failure is not None:
+            self.core.set_job_aside(job_id, failure.reason)
+
+    def add_record(
+        self, value: bytes, progress: JobProgress | None = None
+    ) -> MalformedBody | None:
+        """Add a stored job to the schedule, or return why it cannot be decoded."""
         accepted = decode_accepted(value)
         if isinstance(accepted, MalformedBody):
             logger.warning("stored job left out: %s", accepted.reason)
-            return
+            return accepted
         self.core.add_job(accepted, progress)
         self.request_pass()
+        return None
 
     def _apply_worker_listing(self, listing: Listing) -> None:
         registered = {item.key for item in listing.items}
