Keep each outcome that callers have seen

Cause: while the answer to the write of an outcome was lost, the leader showed the job as running, although nodes that read the records showed the stored outcome. A conflict told only the new revision, so that the outcome was written again for as long as answers were lost. A cancellation that came meanwhile replaced the outcome that was stored, and an outcome was written over a cancellation that the leader had not read.

Change: the leader keeps the versions that may be stored, by their bytes, and reads from a conflict which one is. While the outcome may be stored, or a cancellation is, it lets the asking node read the records. A write that decides an outcome compares the key of the cancellation, so that whichever is stored first stands; it takes one entry more of the transaction.

--- a/features/steps/node_record_steps.py
+++ b/features/steps/node_record_steps.py
@@ -1,14 +1,13 @@
 import asyncio
-import types
 
 import msgspec
 from behave import given, then, when
 
 from features.support.gang_faults import GangPlay
+from features.support.gang_store import make_records
 from firladder._internal.engine.state import JobState
 from firladder._internal.exceptions import OutcomeUnknown
 from firladder._internal.node.keys import JOBS, PROGRESS
-from firladder._internal.node.records import Records
 
 JOB = "0000000000000001"
 OTHER = "0000000000000002"
@@ -78,13 +77,7 @@
     shown = term.core.read_state(JOB)
     if shown is not None:
         return shown
-    records = Records(
-        store=term.client,
-        fleet=None,
-        clock=None,
-        partition_detector=types.SimpleNamespace(partitioned=False),
-    )
-    return await records.read_state(JOB)
+    return await make_records(term.client).read_state(JOB)
 
 
 @when("a leader that cannot read it leads for {seconds:d} s beside another job")
--- a/features/support/gang_store.py
+++ b/features/support/gang_store.py
@@ -4,11 +4,13 @@
 import dataclasses
 import enum
 import math
+import types
 from collections.abc import Callable
 
 from firladder._internal.exceptions import LeaseEnded, NotFound, StoreUncertain
 from firladder._internal.node.election import LEASE_S as LEADER_LEASE_S
 from firladder._internal.node.keys import LEADER
+from firladder._internal.node.records import Records
 from firladder._internal.platform.store import (
     Change,
     Changes,
@@ -178,6 +180,12 @@
         return revision
 
 
+def make_records(client: StoreClient) -> Records:
+    """Return what a node reads the state of jobs with if no leader tells it."""
+    detector = types.SimpleNamespace(partitioned=False)
+    return Records(store=client, fleet=None, clock=None, partition_detector=detector)
+
+
 class FakeLeadership:
     """A leadership that lasts until its key is another's; renewed while reachable."""
 
--- a/src/firladder/_internal/engine/core.py
+++ b/src/firladder/_internal/engine/core.py
@@ -147,11 +147,19 @@
         if job.cancelled:
             return
         job.cancelled = True
-        if job.settled:
+        if not job.may_be_settled:
+            self.confirm_cancellation(job_id)
+
+    def confirm_cancellation(self, job_id: str) -> None:
+        """End a job whose cancellation is stored, and no outcome before it.
+
+        Nodes that cannot reach this leader read the records and show the job as
+        cancelled, so any other outcome would contradict what a caller has seen.
+        """
+        job = self.jobs.get(job_id)
+        if job is None or job.settled or job.state is JobState.CANCELLED:
             return
-        # An outcome that is not durable has not been shown to anybody. Nodes that
-        # cannot reach this leader read the records and show the job as cancelled, so
-        # any other outcome would contradict what a caller has seen.
+        job.cancelled = True
         self._end_job(job, JobState.CANCELLED)
 
     def forget_job(self, job_id: str) -> None:
@@ -184,7 +192,7 @@
         return wait_s
 
     def read_state(self, job_id: str) -> JobState | None:
-        """Return the state to show to callers, or None if the job is unknown."""
+        """Return the state to show to callers, or None if only the records tell."""
         job = self.jobs.get(job_id)
         if job is None:
             return None
@@ -193,8 +201,11 @@
             return job.state
         if job.terminal and not job.settled:
             # An outcome that is not durable must not be shown: a successor would not
-            # know it, and would run the job again or show it as running.
-            return JobState.RUNNING
+            # know it, and would run the job again or show it as running. If it may be
+            # durable, or a cancellation is, a node that read the records may have
+            # shown that.
+            may_be_shown = job.may_be_settled or job.cancelled
+            return None if may_be_shown else JobState.RUNNING
         return job.state
 
     def count_pending(self, queue: str) -> int:
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -277,7 +277,8 @@
 class Job:
     """A job and its units. ``version`` counts changes that must become durable.
 
-    ``durable_version`` is the newest stored version. ``outcome_version`` is the one
+    ``durable_version`` is the newest stored version; ``offered_version`` is the newest
+    that was sent to the store and may be stored. ``outcome_version`` is the one
     that set the job's outcome: later changes, such as ends of the last members of a
     gang, do not alter the outcome.
     """
@@ -287,6 +288,7 @@
     state: JobState = JobState.QUEUED
     version: int = 0
     durable_version: int = 0
+    offered_version: int = 0
     outcome_version: int = 0
     cancelled: bool = False
     ended_at: float = 0.0
@@ -302,6 +304,11 @@
         """Return whether the job's outcome is durable, and so may be shown."""
         return self.terminal and self.durable_version >= self.outcome_version
 
+    @property
+    def may_be_settled(self) -> bool:
+        """Return whether the outcome may be durable, so that only the records tell."""
+        return self.terminal and self.offered_version >= self.outcome_version
+
     def mark_changed(self) -> None:
         """Count a change that must become durable."""
         self.version += 1
--- a/src/firladder/_internal/node/progress_writer.py
+++ b/src/firladder/_internal/node/progress_writer.py
@@ -3,22 +3,26 @@
 import asyncio
 import itertools
 import logging
+from collections import defaultdict
 from collections.abc import Callable
+from typing import NamedTuple
 
 from ..engine.core import Core
 from ..engine.progress import encode_progress
-from ..engine.state import TERMINAL, Job
+from ..engine.state import TERMINAL, Job, JobState
 from ..exceptions import LeaseEnded, NotLeader, StoreUnavailable, StoreUncertain
-from ..platform.store import MAX_TRANSACTION_ENTRIES, Conflict, PlatformStore, Write
+from ..platform.store import (
+    MAX_TRANSACTION_ENTRIES,
+    Conflict,
+    Item,
+    PlatformStore,
+    Write,
+)
 from ..utils.clocks import Clock
-from .keys import LEADER, PROGRESS
+from .keys import CANCELS, LEADER, PROGRESS
 
 logger = logging.getLogger(__name__)
 
-MAX_JOBS_PER_WRITE = (MAX_TRANSACTION_ENTRIES - 1) // 2
-"""Maximum jobs of one transaction: each takes one comparison and one write, and the
-leader's key one comparison."""
-
 RETRY_S = 0.1
 """Seconds before a failed write is retried."""
 
@@ -31,12 +35,20 @@
 write is billed and takes the store 4 ms."""
 
 
+class _Offer(NamedTuple):
+    """A version of a job's record that may be stored."""
+
+    version: int
+    value: bytes
+
+
 class ProgressWriter:
     """Writes the progress of changed jobs while the leader's key is this node's.
 
     A write whose answer was lost may take effect seconds later. Each write therefore
     compares the revision of the record that it replaces, so that a late write finds it
-    changed and has no effect.
+    changed and has no effect. A write that decides a job's outcome also compares the
+    key of its cancellation, so that whichever is stored first stands.
     """
 
     def __init__(
@@ -62,6 +74,7 @@
         self._on_durable = on_durable
         self._on_write = on_write
         self._wake = asyncio.Event()
+        self._uncertain: defaultdict[str, list[_Offer]] = defaultdict(list)
         self.writes = 0
 
     def wake(self) -> None:
@@ -85,30 +98,63 @@
     async def _write_batch(
         self,
     ) -> NotLeader | StoreUnavailable | StoreUncertain | None:
-        jobs = dict(itertools.islice(self._core.dirty.items(), MAX_JOBS_PER_WRITE))
-        versions = {job_id: job.version for job_id, job in jobs.items()}
+        jobs = self._choose_batch()
+        offers = {i: _Offer(j.version, self._encode(j)) for i, j in jobs.items()}
         expected = [(LEADER, self._token)]
         expected += [(PROGRESS + i, self._revisions.get(i, 0)) for i in jobs]
+        expected += [(CANCELS + i, 0) for i, j in jobs.items() if _decides(j)]
+        before = {job_id: job.offered_version for job_id, job in jobs.items()}
+        for job_id, job in jobs.items():
+            job.offered_version = offers[job_id].version
         self.writes += 1
         began_at = self._clock.read_monotonic()
         result = await self._store.commit(
             expected=expected,
-            writes=[Write(PROGRESS + i, self._encode(j)) for i, j in jobs.items()],
+            writes=[Write(PROGRESS + i, o.value) for i, o in offers.items()],
         )
         self._on_write(self._clock.read_monotonic() - began_at)
         if isinstance(result, int):
-            for job_id, version in versions.items():
-                self._revisions[job_id] = result
-                self._core.mark_durable(job_id, version)
-                self._note_late_end(jobs[job_id], version)
+            for job_id, offer in offers.items():
+                self._confirm(jobs[job_id], offer.version, result)
             self._on_durable()
             return None
+        if isinstance(result, StoreUncertain):
+            for job_id, offer in offers.items():
+                self._uncertain[job_id].append(offer)
+            return result
+        for job_id, job in jobs.items():
+            job.offered_version = before[job_id]
         if isinstance(result, Conflict):
-            return self._read_conflict(result, list(jobs))
+            return self._read_conflict(result, jobs)
         if isinstance(result, LeaseEnded):
             return NotLeader(reason=result.reason)
         return result
 
+    def _choose_batch(self) -> dict[str, Job]:
+        dirty = self._core.dirty
+        sizes = (2 + _decides(job) for job in dirty.values())
+        totals = itertools.accumulate(sizes)
+        fitting = itertools.takewhile(
+            lambda row: row[1] < MAX_TRANSACTION_ENTRIES,
+            zip(dirty.items(), totals, strict=True),
+        )
+        return dict(item for item, _ in fitting)
+
+    def _confirm(self, job: Job, version: int, revision: int) -> None:
+        """Record that a version is stored, and that no older write can follow it."""
+        job_id = job.accepted.job_id
+        self._revisions[job_id] = revision
+        self._uncertain.pop(job_id, None)
+        job.offered_version = version
+        self._core.mark_durable(job_id, version)
+        self._note_late_end(job, version)
+
+    def _read_stored(self, job: Job, item: Item) -> None:
+        offers = self._uncertain.get(job.accepted.job_id, [])
+        stored = [o.version for o in offers if o.value == item.value]
+        if stored:
+            self._confirm(job, max(stored), item.revision)
+
     def _note_late_end(self, job: Job, version: int) -> None:
         took_s = self._clock.read_wall() - job.ended_at
         if version != job.outcome_version or not job.settled or took_s < LATE_END_S:
@@ -125,7 +171,7 @@
         return encode_progress(job, self._core.workers, wall_offset_s)
 
     def _read_conflict(
-        self, conflict: Conflict, job_ids: list[str]
+        self, conflict: Conflict, jobs: dict[str, Job]
     ) -> NotLeader | None:
         leader = conflict.find(LEADER)
         if leader is None or leader.revision != self._token:
@@ -134,11 +180,26 @@
             )
         # Only the leader writes progress, so a changed record was changed by an
         # earlier write of this term whose answer was lost.
-        for job_id in job_ids:
+        for job_id, job in jobs.items():
             item = conflict.find(PROGRESS + job_id)
-            self._revisions[job_id] = item.revision if item is not None else 0
+            revision = item.revision if item is not None else 0
+            if item is not None and revision != self._revisions.get(job_id, 0):
+                self._read_stored(job, item)
+            self._revisions[job_id] = revision
+            if conflict.find(CANCELS + job_id) is not None:
+                self._core.confirm_cancellation(job_id)
+        self._on_durable()
         logger.info(
             "conflict with an earlier write of this leader",
-            extra={"jobs": len(job_ids)},
+            extra={"jobs": len(jobs)},
         )
         return None
+
+
+def _decides(job: Job) -> bool:
+    """Return whether a write of the job would decide its outcome.
+
+    A job that has been cancelled is shown as cancelled from then on, by nodes that read
+    the records, unless its record has another outcome.
+    """
+    return job.terminal and not job.settled and job.state is not JobState.CANCELLED
