Count the lease of a start from before the check of the leader's own

Cause: the time that a start's lease counts from was read after the check whether leases may still be granted. A leader whose process stood still in between granted a full lease after it had woken, for which a successor does not wait. Polls read it before.

Change: starts read it before the check as well.

features/node_leases.feature: with 20 s between the two, the lease of a start ended 30 s after the check; now within 10 s, as that of a poll did before.

--- a/features/node_leases.feature
+++ b/features/node_leases.feature
@@ -5,3 +5,14 @@
     Given a worker that starts again under its id
     When a start meant for its former life is carried out, and it falls silent then
     Then the task never runs twice at once, and is completed
+
+  Scenario Outline: A leader that stands still grants no lease beyond its time
+    Guards against a run that goes on after a successor has waited for its lease.
+    Given a leader that stands still for 20 s after it has checked that it may <grant>
+    When it sends that grant
+    Then the lease ends within 10 s of the check
+
+    Examples:
+      | grant         |
+      | start a task  |
+      | renew a lease |
--- a/features/steps/node_lease_steps.py
+++ b/features/steps/node_lease_steps.py
@@ -2,14 +2,97 @@
 
 from behave import given, then, when
 
+from features.support.engine_world import make_job, make_step
+from features.support.fake_workers import FakeWorkerCalls, SimulatedLeader
 from features.support.gang_faults import GangPlay
 from features.support.gang_store import Fate, Fault
+from features.support.virtual_time import run_in_virtual_time
+from firladder._internal.node.worker_session import WorkerSession
 
 JOB = "0000000000000001"
 SILENT = 0
 SPARE = 2
 
 
+class StandingLeader(SimulatedLeader):
+    """A leader whose process stands still after it has checked its own lease."""
+
+    def __init__(self):
+        self.stands_s = 0.0
+        self.checked_at = None
+        super().__init__(1)
+
+    @property
+    def may_renew(self):
+        if self.stands_s and self.checked_at is None:
+            self.checked_at = self.clock.read_monotonic()
+            self.clock.now += self.stands_s
+        return True
+
+    @may_renew.setter
+    def may_renew(self, _value):
+        pass
+
+
+class GrantedCalls(FakeWorkerCalls):
+    """Calls to workers that keep the deadlines granted."""
+
+    def __init__(self):
+        super().__init__()
+        self.deadlines = []
+
+    async def start(self, order, *, deadline_s, **fields):
+        self.deadlines.append(deadline_s)
+        return await super().start(order, deadline_s=deadline_s, **fields)
+
+    async def poll(self, *fields, deadline_s, **named):
+        if deadline_s is not None:
+            self.deadlines.append(deadline_s)
+        return await super().poll(*fields, **named)
+
+
+@given(
+    "a leader that stands still for {stands_s:g} s after it has checked that it may"
+    " {grant}"
+)
+def describe_standing(context, stands_s, grant):
+    context.stands_s = stands_s
+    context.grant = grant
+
+
+@when("it sends that grant")
+def grant_lease(context):
+    async def grant():
+        leader = context.leader = StandingLeader()
+        engine = leader.engine
+        leader.calls = GrantedCalls()
+        engine.now = leader.clock.read_monotonic()
+        engine.submit(make_job("a", make_step()))
+        (placement,) = engine.start_all()
+        worker = leader.core.workers["w0"]
+        worker.clock_offset_s = 0.0
+        session = WorkerSession(leader, worker)
+        if context.grant == "start a task":
+            session.order(placement, start=True)
+            leader.stands_s = context.stands_s
+            sending = asyncio.create_task(session.send_orders())
+            await asyncio.sleep(1.0)
+            sending.cancel()
+        else:
+            engine.accept([placement])
+            leader.stands_s = context.stands_s
+            await session._poll()
+
+    run_in_virtual_time(grant())
+
+
+@then("the lease ends within {lease_s:g} s of the check")
+def check_lease(context, lease_s):
+    deadline_s = context.leader.calls.deadlines[0]
+    checked_at = context.leader.checked_at
+    assert deadline_s <= checked_at + lease_s, deadline_s - checked_at
+
+
 @given("a worker that starts again under its id")
 def describe_worker(context):
     context.play = GangPlay(3, takes_s=8.0, keep_ids=True)
--- a/src/firladder/_internal/node/order_sender.py
+++ b/src/firladder/_internal/node/order_sender.py
@@ -213,6 +213,8 @@
             now = context.clock.read_monotonic()
             self._core.abort_late_gang(placement.unit, now)
             self._core.abort_without_ticket(placement.unit, now)
+        # The lease counts from before this check: the process may stand still after it.
+        sent_at = context.clock.read_monotonic()
         if not context.may_renew and placement.unit is not None:
             # A successor that does not reach the worker would count on its old lease.
             self._core.preempt(placement.unit)
@@ -222,7 +224,6 @@
         if self._removed:
             return
         lease_s = self._core.lease_s
-        sent_at = context.clock.read_monotonic()
         deadline_s = leases.choose_deadline(worker, now=sent_at, lease_s=lease_s)
         if deadline_s is None or not worker.may_send_lease:
             # A lease sent into a partition might arrive late and unnoticed.
