--- a/src/firladder/_internal/engine/core.py
+++ b/src/firladder/_internal/engine/core.py
@@ -1,25 +1,45 @@
 """The scheduling core: takes events and returns orders; time is passed in."""
 
 import dataclasses
+import math
 from collections.abc import Mapping
 
 from ..models.workload import AcceptedJob, WorkerEntry
 from .leases import LATE_ORDER_S, convert_recorded_expiry, estimate_inherited_expiry
 from .measuring import choose_wait
-from .progress import JobProgress, restore_job
+from .progress import JobProgress, find_misfit, restore_job
 from .reports import Reports
 from .state import Job, JobState, UnitState, Worker, build_job
 
+MAX_FORGOTTEN_KNOWN = 20_000
+"""Deleted jobs that a leader remembers: those of more than an hour."""
+
 
 class Core(Reports):
     """Everything that a leader decides during its term, from job to outcome."""
 
-    def add_job(self, accepted: AcceptedJob, progress: JobProgress | None) -> Job:
-        """Add a job to the schedule, at its recorded progress; return it."""
+    def add_job(
+        self, accepted: AcceptedJob, progress: JobProgress | None
+    ) -> Job | None:
+        """Add a job to the schedule, at its recorded progress; return it.
+
+        Return None for a deleted job, of which an old listing or message may tell: it
+        has no progress any more, and would run again. The same holds for a job that is
+        set aside, and one whose progress does not fit it.
+        """
         known = self.jobs.get(accepted.job_id)
         if known is not None:
             return known
-        job = self.jobs[accepted.job_id] = build_job(accepted)
+        if accepted.accepted_at_s <= self.forgotten.get(accepted.job_id, -math.inf):
+            return None
+        if accepted.job_id in self.set_aside:
+            return None
+        job = build_job(accepted)
+        misfit = None if progress is None else find_misfit(job, progress)
+        if misfit is not None:
+            self.set_job_aside(accepted.job_id, misfit.reason)
+            return None
+        self.jobs[accepted.job_id] = job
         if progress is not None:
             restore_job(job, progress)
             self.charged |= any(unit.crashes for unit in job.units)
@@ -28,6 +48,17 @@
             self.cancel_job(accepted.job_id)
         return job
 
+    def set_job_aside(self, job_id: str, reason: str) -> None:
+        """Leave a job alone whose records cannot be read.
+
+        A leader of another version may be able to read them. Until then no task of the
+        job starts, and the ends that workers list of it are not acknowledged.
+        """
+        if job_id in self.set_aside or job_id in self.jobs:
+            return
+        self.set_aside.add(job_id)
+        self.note("job set aside", job=job_id, reason=reason)
+
     def _adopt_placements(self, job: Job, progress: JobProgress) -> None:
         for unit in job.units:
             for placement in unit.placements.values():
@@ -119,16 +150,30 @@
         if job.cancelled:
             return
         job.cancelled = True
-        if job.settled:
+        if not job.may_be_settled:
+            self.confirm_cancellation(job_id)
+
+    def confirm_cancellation(self, job_id: str) -> None:
+        """End a job whose cancellation is stored, and no outcome before it.
+
+        Nodes that cannot reach this leader read the records and show the job as
+        cancelled, so any other outcome would contradict what a caller has seen.
+        """
+        job = self.jobs.get(job_id)
+        if job is None or job.settled or job.state is JobState.CANCELLED:
             return
-        # An outcome that is not durable has not been shown to anybody. Nodes that
-        # cannot reach this leader read the records and show the job as cancelled, so
-        # any other outcome would contradict what a caller has seen.
+        job.cancelled = True
         self._end_job(job, JobState.CANCELLED)
 
     def forget_job(self, job_id: str) -> None:
         """Drop a job whose retention time is over."""
-        self.jobs.pop(job_id, None)
+        job = self.jobs.pop(job_id, None)
+        if job is not None:
+            # Nothing of it will be stored that its last ends could wait for.
+            job.durable_version = job.version
+            self.forgotten[job_id] = job.accepted.accepted_at_s
+        if len(self.forgotten) > MAX_FORGOTTEN_KNOWN:
+            del self.forgotten[next(iter(self.forgotten))]
         self.dirty.pop(job_id, None)
         self.early_cancels.discard(job_id)
         self.speeds.forget_job(job_id)
@@ -150,7 +195,7 @@
         return wait_s
 
     def read_state(self, job_id: str) -> JobState | None:
-        """Return the state to show to callers, or None if the job is unknown."""
+        """Return the state to show to callers, or None if only the records tell."""
         job = self.jobs.get(job_id)
         if job is None:
             return None
@@ -159,8 +204,11 @@
             return job.state
         if job.terminal and not job.settled:
             # An outcome that is not durable must not be shown: a successor would not
-            # know it, and would run the job again or show it as running.
-            return JobState.RUNNING
+            # know it, and would run the job again or show it as running. If it may be
+            # durable, or a cancellation is, a node that read the records may have
+            # shown that.
+            may_be_shown = job.may_be_settled or job.cancelled
+            return None if may_be_shown else JobState.RUNNING
         return job.state
 
     def count_pending(self, queue: str) -> int:
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -127,6 +127,8 @@
         for end in report.ended:
             if end.number > worker.last_end_read:
                 worker.last_end_read = end.number
+                if end.task.job_id in self.set_aside:
+                    worker.keep_ends_from(end.number)
                 self._read_end(worker, end, now)
             elif (end.task, end.run) in worker.placements:
                 self._note_skipped_end(worker, end)
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -277,7 +277,8 @@
 class Job:
     """A job and its units. ``version`` counts changes that must become durable.
 
-    ``durable_version`` is the newest stored version. ``outcome_version`` is the one
+    ``durable_version`` is the newest stored version; ``offered_version`` is the newest
+    that was sent to the store and may be stored. ``outcome_version`` is the one
     that set the job's outcome: later changes, such as ends of the last members of a
     gang, do not alter the outcome.
     """
@@ -287,6 +288,7 @@
     state: JobState = JobState.QUEUED
     version: int = 0
     durable_version: int = 0
+    offered_version: int = 0
     outcome_version: int = 0
     cancelled: bool = False
     ended_at: float = 0.0
@@ -302,6 +304,11 @@
         """Return whether the job's outcome is durable, and so may be shown."""
         return self.terminal and self.durable_version >= self.outcome_version
 
+    @property
+    def may_be_settled(self) -> bool:
+        """Return whether the outcome may be durable, so that only the records tell."""
+        return self.terminal and self.offered_version >= self.outcome_version
+
     def mark_changed(self) -> None:
         """Count a change that must become durable."""
         self.version += 1
@@ -366,6 +373,7 @@
     clock_offset_s: float | None = None
     last_end_read: int = 0
     last_end_acknowledged: int = 0
+    first_kept_end: float = math.inf
     ends_complete: bool = True
     former_lives: frozenset[int] = frozenset()
     unacknowledged_ends: list[tuple[int, "Job | None", int]] = dataclasses.field(
@@ -459,6 +467,8 @@
         """Return the number of the last end up to which all ends are durable."""
         last_durable = self.last_end_acknowledged
         for number, job, version in self.unacknowledged_ends:
+            if number >= self.first_kept_end:
+                break
             if job is not None and job.durable_version < version:
                 break
             last_durable = number
@@ -476,6 +486,10 @@
             return 0
         return number
 
+    def keep_ends_from(self, number: int) -> None:
+        """Acknowledge no end from ``number`` on: its job's records cannot be read."""
+        self.first_kept_end = min(self.first_kept_end, number)
+
     def drop_acknowledged_ends(self, number: int) -> None:
         """Drop the ends up to ``number``, which were acknowledged to the worker."""
         self.last_end_acknowledged = max(self.last_end_acknowledged, number)
