Say by which poll an end was acknowledged

Cause: whether a second start follows from a number of a worker's former life shows only in what the poll carried. Change: a problem names last_seen, its time and the fencing token. Run: features/platform_standins.feature, 8 scenarios passed.

--- a/standins/platform_workers.py
+++ b/standins/platform_workers.py
@@ -103,10 +103,15 @@
     run: int
     where: str
     number: int
-    acknowledged: bool = False
+    acknowledged_by: str = ""
     lapsed: bool = False
     lost: bool = False
 
+    @property
+    def acknowledged(self) -> bool:
+        """Return whether a poll has acknowledged the end."""
+        return bool(self.acknowledged_by)
+
 
 @dataclasses.dataclass
 class SecondStart:
@@ -129,6 +134,7 @@
         when = "never"
         if end.acknowledged:
             when = "before" if self.end_acknowledged else "afterwards"
+            when += f" by {end.acknowledged_by}"
         return (
             f"{self.task} run {self.run} started {'late ' * self.late}on {self.where} "
             f"at {self.at:.3f} after it was done: end {end.number} of run {end.run} on "
@@ -396,7 +402,8 @@
         """Forget the ends up to a number."""
         self._note_lapse()
         for number in [n for n in self.done_ends if n <= last_seen]:
-            self.done_ends.pop(number).acknowledged = True
+            how = f"last_seen {last_seen} at {time.time():.3f} with token {self.token}"
+            self.done_ends.pop(number).acknowledged_by = how
         self.ended = [row for row in self.ended if row[0] > last_seen]
 
     def _note_lapse(self) -> None:
