Restart workers in the soak while their answers are lost

Cause: between a worker's restart under its id and the first sign of it, starts and polls that were meant for its former life reach the next one. That lasts for milliseconds unless answers are lost meanwhile.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -211,14 +211,18 @@
         crash_share: float = 0.0,
         advised_share: float = 0.0,
         restart_share: float = 0.0,
+        unheard_restarts: bool = False,
     ) -> None:
         """Start all processes; nodes take the failure domains in rotation."""
         self.rng = random.Random(seed)
         self.faults = {**FAULTS, **(ADVICE_FAULTS if advised_share else {})}
         self.fault_names = sorted(self.faults)
         if restart_share:
-            self.faults |= RESTART_FAULTS
-            self.fault_names += [*RESTART_FAULTS] * RESTART_WEIGHT
+            restarts = RESTART_FAULTS | (
+                UNHEARD_RESTART_FAULTS if unheard_restarts else {}
+            )
+            self.faults |= restarts
+            self.fault_names += [*restarts] * RESTART_WEIGHT
         self.proxy = Proxy()
         names = tuple(f"domain-{n}" for n in range(domains))
         self.site = PlatformSite(
@@ -522,8 +526,25 @@
     return lambda: None
 
 
+def restart_workers_unheard(soak: Soak) -> Callable[[], None]:
+    """Restart several workers at one moment, and lose their answers for a while."""
+    numbers = range(len(soak.site.workers))
+    chosen = soak.rng.sample(numbers, soak.rng.randint(2, len(numbers) // 2))
+    for number in chosen:
+        soak.proxy.set_mode(f"worker-{number}", Mode.ONE_WAY)
+    soak.site.restart_workers(chosen, down_s=soak.rng.uniform(0.05, 0.5))
+
+    def end() -> None:
+        for number in chosen:
+            soak.proxy.set_mode(f"worker-{number}", Mode.PASS)
+
+    return end
+
+
 RESTART_FAULTS: dict[str, Fault] = {"restart_workers": restart_workers}
-"""Faults of runs with restarted workers only, for the same reason."""
+UNHEARD_RESTART_FAULTS = {"restart_workers_unheard": restart_workers_unheard}
+"""Faults of runs with restarted workers only, for the same reason; the second ones with
+an option of their own."""
 
 
 def run_seed(
@@ -534,6 +555,7 @@
     crash_share: float = 0.0,
     advised_share: float = 0.0,
     restart_share: float = 0.0,
+    unheard_restarts: bool = False,
 ) -> bool:
     """Run one seed, print the problems and return whether there were none."""
     soak = Soak(
@@ -542,6 +564,7 @@
         crash_share=crash_share,
         advised_share=advised_share,
         restart_share=restart_share,
+        unheard_restarts=unheard_restarts,
     )
     problems = ["the soak run was aborted"]
     try:
@@ -595,6 +618,11 @@
         help="share of workers that keep their ids when they restart; adds restarts "
         "of several workers at one moment, and jobs with dozens of tasks",
     )
+    parser.add_argument(
+        "--unheard_restarts",
+        action="store_true",
+        help="with --restart_share: workers also restart while their answers are lost",
+    )
     options = parser.parse_args()
     first_seed = options.seed if options.seed is not None else int(time.time())
     results = [
@@ -605,6 +633,7 @@
             crash_share=options.crash_share,
             advised_share=options.advised_share,
             restart_share=options.restart_share,
+            unheard_restarts=options.unheard_restarts,
         )
         for n in range(options.seeds)
     ]
