Play a soak with workers that restart under their ids

Cause: no seeded soak played restarts under one id. Change: seed 9001, 12 s, half of the workers keeping their ids.

--- a/features/platform_soak.feature
+++ b/features/platform_soak.feature
@@ -29,3 +29,11 @@
     as "not run" then must not have run.
     When the soak runs with seed 300 for 10 s in 3 failure domains
     Then no promise was broken
+
+  Scenario: A soak with workers that restart under their ids breaks no promise
+    Two to four of eight workers restart at one moment, every second one under its id,
+    while jobs have dozens of small tasks.
+    Guards against tasks that start again after they ended as done, as the ends of a
+    worker's next life were taken for those of its former one.
+    When the soak runs with seed 9001 for 12 s, half its workers keeping their ids
+    Then no promise was broken
