Record and read lease expiries late if the process stands still

Cause: the wall clock and the steady clock were read one after the other in the order that makes an expiry too early by the time between: by the leader that records when the leases of a silent worker end, and by its successor.

Change: each reads them in the other order.

Two scenarios of features/node_leases.feature, with 20 s between any two readings of a lease that ends in 10 s: recorded as ended 20 s too early, and waited for 2.5 s; both wait for the whole lease now.

--- a/features/node_leases.feature
+++ b/features/node_leases.feature
@@ -27,3 +27,15 @@
       | idle_s |
       | 60     |
       | 600    |
+
+  Scenario: A leader that stands still while it records when leases end is not early
+    Guards against a record by which a successor starts a task while its lease runs.
+    Given a worker that is out of reach, with a lease of 10 s more
+    When its leader stands still for 20 s between any two readings of its clocks
+    Then the record says that the lease ends in 10 s or later
+
+  Scenario: A leader that stands still while it reads when leases end is not early
+    Guards against starting a task while the lease that a former leader granted runs.
+    Given a record that says that the lease of a worker ends in 10 s
+    When a leader that stands still for 20 s between any two readings loads it
+    Then it waits for 10 s or longer
--- a/features/steps/node_lease_steps.py
+++ b/features/steps/node_lease_steps.py
@@ -1,15 +1,21 @@
 import asyncio
+from unittest import mock
 
 from behave import given, then, when
 
-from features.support.engine_world import make_job, make_step
+from features.support.engine_world import EngineWorld, make_job, make_step
 from features.support.fake_workers import FakeWorkerCalls, SimulatedLeader
 from features.support.gang_faults import GangPlay
-from features.support.gang_store import Fate, Fault
+from features.support.gang_store import Fate, Fault, FaultyStore, StoreClient
+from features.support.loaded_term import LoadedTerm
 from features.support.virtual_time import run_in_virtual_time
+from firladder._internal.engine.progress import decode_progress, encode_accepted
+from firladder._internal.node.keys import JOBS, PROGRESS
+from firladder._internal.node.progress_writer import ProgressWriter
 from firladder._internal.node.worker_session import WorkerSession
 
 JOB = "0000000000000001"
+WALL_OFFSET_S = 5000.0
 SILENT = 0
 SPARE = 2
 
@@ -155,3 +161,93 @@
         for m in play.members
     ]
     assert play.terms[-1][0].core.read_state(JOB).value == "completed"
+
+
+class StandingClock:
+    """Clocks of a process that stands still after each reading, once told to."""
+
+    def __init__(self):
+        self.now = 1000.0
+        self.stands_s = 0.0
+
+    def _read(self, offset_s):
+        read_at = self.now
+        self.now += self.stands_s
+        return read_at + offset_s
+
+    def read_monotonic(self):
+        return self._read(0.0)
+
+    def read_wall(self):
+        return self._read(WALL_OFFSET_S)
+
+
+@given("a worker that is out of reach, with a lease of {lease_s:g} s more")
+def lose_worker(context, lease_s):
+    engine = context.engine = EngineWorld(1)
+    context.clock = StandingClock()
+    engine.now = context.clock.now
+    engine.submit(make_job(JOB, make_step()))
+    engine.accept(engine.start_all())
+    worker = engine.core.workers["w0"]
+    worker.granted_until = context.clock.now + lease_s
+    engine.core.mark_unreachable(worker, engine.now)
+
+
+def encode(context):
+    writer = ProgressWriter(
+        core=context.engine.core,
+        store=None,
+        token=1,
+        revisions={},
+        clock=context.clock,
+        on_durable=lambda: None,
+    )
+    return writer._encode(context.engine.core.jobs[JOB])
+
+
+@when(
+    "its leader stands still for {stands_s:g} s between any two readings of its clocks"
+)
+def record_standing(context, stands_s):
+    context.began_at = context.clock.now
+    context.clock.stands_s = stands_s
+    context.record = encode(context)
+
+
+@then("the record says that the lease ends in {lease_s:g} s or later")
+def check_record(context, lease_s):
+    ends_at = decode_progress(context.record).lapses["w0"]
+    assert ends_at >= context.began_at + WALL_OFFSET_S + lease_s, ends_at
+
+
+@given("a record that says that the lease of a worker ends in {lease_s:g} s")
+def make_record(context, lease_s):
+    lose_worker(context, lease_s)
+    context.record = encode(context)
+
+
+@when("a leader that stands still for {stands_s:g} s between any two readings loads it")
+def load_standing(context, stands_s):
+    async def load():
+        store = FaultyStore()
+        client = StoreClient(store, lambda k, m: Fault(k, m, Fate.DELIVERED))
+        accepted = context.engine.accepted[JOB]
+        store.put(JOBS + JOB, encode_accepted(accepted))
+        store.put(PROGRESS + JOB, context.record)
+        term = LoadedTerm()
+        term._store = term.profile_writer._store = client
+        context.clock.stands_s = stands_s
+        term.clock = context.clock
+        with mock.patch.object(term, "_watch_prefix"):
+            await term._load()
+        context.expires_at = term.core.workers["w0"].runs_expire_at
+        await term._tasks.close()
+
+    context.began_at = context.clock.now
+    run_in_virtual_time(load())
+
+
+@then("it waits for {lease_s:g} s or longer")
+def check_wait(context, lease_s):
+    assert context.expires_at >= context.began_at + lease_s, context.expires_at
--- a/src/firladder/_internal/node/progress_writer.py
+++ b/src/firladder/_internal/node/progress_writer.py
@@ -167,7 +167,9 @@
     def _encode(self, job: Job) -> bytes:
         if job.state in TERMINAL and not job.ended_at:
             job.ended_at = self._clock.read_wall()
-        wall_offset_s = self._clock.read_wall() - self._clock.read_monotonic()
+        # In this order: if the process stands still between, expiries are late.
+        now = self._clock.read_monotonic()
+        wall_offset_s = self._clock.read_wall() - now
         return encode_progress(job, self._core.workers, wall_offset_s)
 
     def _read_conflict(
--- a/src/firladder/_internal/node/term.py
+++ b/src/firladder/_internal/node/term.py
@@ -299,8 +299,10 @@
             recorded[job_id] = found
         for item in submissions.items:
             self._apply_submission(item.key, item.value, recorded)
+        # In this order: if the process stands still between, expiries are late.
+        wall = self.clock.read_wall()
         now = self.clock.read_monotonic()
-        self.core.restore_expiries(recorded, now=now, wall=self.clock.read_wall())
+        self.core.restore_expiries(recorded, now=now, wall=wall)
         self.core.end_former_lives(recorded, now=now)
         for worker in self.core.workers.values():
             self._open_session(worker)
