Test that a call which counts as not sent never arrives while the process stands still

Cause: a start that counts as not sent is planned again at once, so a request that left after all would run its task twice. Whether it can was open: the call's cancellation reaches its connection one iteration of the loop later, and a connection may be made in between.

Finding: it can't. A request that is written in that iteration lies in the transport's buffer, and the cancellation is queued before the next event of the socket is handled; the connection is aborted with the buffer.

Change: a scenario with 200 calls that get up to 6 ms to be sent while the process stands still. No change of the product.

--- a/features/network_answers.feature
+++ b/features/network_answers.feature
@@ -61,6 +61,13 @@
     Then the call ends "not_sent" within 0.6 s
     And nothing arrives when the server accepts connections again
 
+  Scenario: A call that counts as not sent never arrives, although the process stood still
+    Guards against tasks that run twice, as a start that was not sent is planned again.
+    Given a server that counts the calls that arrive
+    When 200 calls get up to 6 ms to be sent while the process stands still for up to 20 ms
+    Then some of them count as not sent and some are answered
+    And none that counts as not sent has arrived
+
   Scenario Outline: A process that has ended is told from a path that is cut
     Guards against taking a crashed worker for one that is only out of reach.
     Given a server that <behaves>
--- a/features/steps/network_answers_steps.py
+++ b/features/steps/network_answers_steps.py
@@ -1,6 +1,8 @@
 import asyncio
 import contextlib
+import random
 import socket
+import threading
 import time
 
 import parse
@@ -362,6 +364,87 @@
     assert context.slow.answered_at is not None
 
 
+class CountingServer:
+    """Answers calls in threads of its own, and notes the numbers in their bodies."""
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.url = f"http://127.0.0.1:{self.listener.getsockname()[1]}/"
+        self.arrived = set()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self.listener.accept()
+                threading.Thread(
+                    target=self.answer, args=(connection,), daemon=True
+                ).start()
+
+    def answer(self, connection):
+        with connection, contextlib.suppress(OSError):
+            request = b""
+            while received := connection.recv(65536):
+                request += received
+                head, _, body = request.partition(b"\r\n\r\n")
+                if len(body) == len(b"%08d" % 0):
+                    self.arrived.add(int(body))
+                    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                    return
+
+
+@given("a server that counts the calls that arrive")
+def start_counting_server(context):
+    context.counting = CountingServer()
+    context.add_cleanup(context.counting.listener.close)
+
+
+@when(
+    "{count:d} calls get up to {limit:d} ms to be sent "
+    "while the process stands still for up to {pause:d} ms"
+)
+def call_beside_pauses(context, count, limit, pause):
+    rng = random.Random(60)
+    http = HttpClient(persistent=False)
+    context.outcomes = {}
+
+    async def call(number):
+        context.outcomes[number] = await http.call(
+            "POST",
+            context.counting.url,
+            body=b"%08d" % number,
+            send_within_s=rng.uniform(0, limit / 1000),
+            timeout_s=2.0,
+        )
+
+    async def stand_still():
+        while True:
+            time.sleep(rng.choice((0.0, 0.0, 0.0005, 0.002, pause / 1000)))
+            await asyncio.sleep(rng.choice((0.0, 0.0, 0.0003)))
+
+    async def call_all():
+        standing = asyncio.ensure_future(stand_still())
+        for first in range(0, count, 10):
+            await asyncio.gather(*map(call, range(first, first + 10)))
+        standing.cancel()
+        # What left too late would arrive by now.
+        await asyncio.sleep(0.3)
+
+    play(context, call_all())
+
+
+@then("some of them count as not sent and some are answered")
+def check_both_outcomes(context):
+    kinds = {type(outcome) for outcome in context.outcomes.values()}
+    assert {NotSent, HttpResponse} <= kinds, kinds
+
+
+@then("none that counts as not sent has arrived")
+def check_none_arrived(context):
+    unsent = {n for n, o in context.outcomes.items() if isinstance(o, NotSent)}
+    assert not unsent & context.counting.arrived
+
+
 @given("a server that accepts no connections")
 def start_full_server(context):
     listener = socket.create_server(("127.0.0.1", 0), backlog=0)
