Read the ends of a report in the order of their numbers

Cause: an end whose number is below one that was read before counts as read. If a worker lists two new ends in another order, the first is skipped, acknowledged with the second, and its task starts again. The platform's page says that numbers increase, not that a list is sorted; no run has shown another order.

Test: features/engine_late_ends.feature, 'Ends that are listed out of order are all read', failed before.

--- a/features/engine_late_ends.feature
+++ b/features/engine_late_ends.feature
@@ -33,3 +33,9 @@
     And its job is cancelled
     When a worker lists its end as done
     Then the job is shown as cancelled
+
+  Scenario: Ends that are listed out of order are all read
+    Guards against an end that is skipped, and acknowledged with a later one.
+    Given two tasks run on one worker
+    When it lists the end of the second before that of the first, both as done
+    Then the job is completed once that is durable
--- a/features/steps/engine_late_ends_steps.py
+++ b/features/steps/engine_late_ends_steps.py
@@ -69,3 +69,28 @@
 @then("the job is shown as cancelled")
 def check_cancelled(context):
     assert context.engine.core.read_state("job") is JobState.CANCELLED
+
+
+@given("two tasks run on one worker")
+def run_two(context):
+    context.engine = engine = EngineWorld(1)
+    engine.submit(make_job("job", make_step(2, 4), at=engine.now))
+    context.first = engine.start_all()
+    engine.accept(context.first)
+    (context.worker,) = {engine.core.workers[p.worker_id] for p in context.first}
+
+
+@when("it lists the end of the second before that of the first, both as done")
+def list_backwards(context):
+    ends = [
+        EndedTask(number, placement.task, placement.run, "done", "")
+        for number, placement in enumerate(context.first, 1)
+    ]
+    context.engine.now += 0.1
+    context.engine.report(context.worker, ended=ends[::-1])
+
+
+@then("the job is completed once that is durable")
+def check_both_read(context):
+    context.engine.make_durable()
+    assert context.engine.core.read_state("job") is JobState.COMPLETED
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -1,6 +1,7 @@
 """Apply the reports of workers, and expire or abort runs when none come."""
 
 import dataclasses
+import operator
 
 from ..models.order import EndedTask, Ending, TaskId, WorkerReport
 from ..models.workload import WorkerEntry
@@ -124,7 +125,7 @@
         worker.claimed = True
         worker.ends_complete = report.complete
         worker.clock_offset_s = report.clock_s - now
-        for end in report.ended:
+        for end in sorted(report.ended, key=operator.attrgetter("number")):
             if end.number > worker.last_end_read:
                 worker.last_end_read = end.number
                 if end.task.job_id in self.set_aside:
