Check in the plays that no task starts after an acknowledged end as done

The plays of leaders and workers in virtual time looked for two runs at one moment only, so that a task could be started again after its end had been acknowledged, before or later. The machines of a play now note which ends a poll has acknowledged, and whether the lease lapsed in between; one end of a gang's member stands for the gang, in the engine's random events too. A play may draw answers that are overtaken and reports of a few ends, and choose its loop.

--- a/features/support/engine_chaos.py
+++ b/features/support/engine_chaos.py
@@ -1,6 +1,7 @@
 """Random events against an engine and simulated workers, with invariants checked."""
 
 import dataclasses
+import itertools
 import random
 
 from features.support.engine_world import (
@@ -285,9 +286,9 @@
         An end does not count if the worker's lease expired before the end was
         acknowledged: the leader may then start the task elsewhere.
         """
-        self.acknowledged |= {
-            (e.task, e.run) for e in sim.acknowledged if e.ending == "done"
-        }
+        for end in sim.acknowledged:
+            if end.ending == "done":
+                self.acknowledged |= self.list_ended_with(end.task, end.run)
         for end in sim.acknowledged:
             if end.ending == "failed":
                 self.failed.setdefault(end.task, set()).add(end.run)
@@ -295,6 +296,14 @@
         for task, run in self.acknowledged & self.restarted:
             self.problems.append(f"started after done: {task} {run}")
 
+    def list_ended_with(self, task, run) -> set:
+        """Return what the end of a run stands for: with a gang's member, the gang."""
+        step = self.world.accepted[task.job_id].workload.steps[task.step]
+        if not step.gang:
+            return {(task, run)}
+        members = {dataclasses.replace(task, index=i) for i in range(step.count)}
+        return self.done & set(itertools.product(members, (run,)))
+
     def finish(self) -> None:
         sims = [s for s in self.sims.values() if s.running]
         if not sims:
--- a/features/support/gang_faults.py
+++ b/features/support/gang_faults.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 import json
@@ -43,6 +44,7 @@
 from firladder._internal.node.term import Term
 from firladder._internal.platform.discovery import WORKER_PREFIX
 from firladder._internal.platform.settings import NodeSettings
+from firladder._internal.platform.workers import MAX_ENDS_LISTED
 from firladder._internal.utils.clocks import LogicalClock
 from firladder._internal.utils.events import Event, Timeline
 from standins.platform_workers import GANG_START_TIMEOUT_S
@@ -54,6 +56,8 @@
 HEARTBEAT_S = 1.0
 ENTRY_TTL_S = 3 * HEARTBEAT_S
 ELECTION_S = 0.15
+LATE_AFTER_S = 0.4
+"""Seconds from which an order is a late copy."""
 
 
 @dataclasses.dataclass
@@ -69,11 +73,20 @@
     whole_at: float | None = None
     ended_at: float | None = None
     how: str = ""
+    acknowledged: bool = False
+    """Whether a poll acknowledged its end, with no lapse of the lease in between."""
+    late: bool = False
+    """Whether a late copy of its order started it."""
 
     @property
     def gang(self):
         return self.task.job_id, self.task.occurrence, self.task.step, self.run
 
+    @property
+    def unit_run(self):
+        """Return what names the run: one end of a gang's member stands for all."""
+        return (*self.gang, None if self.size > 1 else self.task.index)
+
     def measure_wait(self, now: float) -> float:
         """Return for how long the member has run without the whole gang."""
         ends = [t for t in (self.whole_at, self.ended_at) if t is not None]
@@ -104,8 +117,10 @@
         self.running: dict = {}
         self.highest: dict = {}
         self.ended: list[EndedTask] = []
+        self.members_ended: dict[int, Member] = {}
         self.numbers = itertools.count(1)
         self.lease_until = 0.0
+        self.lapsed_at = 0.0
         self.ended_event = asyncio.Event()
 
     @property
@@ -119,6 +134,14 @@
         capacity = dataclasses.replace(self._entry.capacity, accelerators=accelerators)
         self._entry = dataclasses.replace(self._entry, capacity=capacity)
 
+    def acknowledge(self, number: int) -> None:
+        """Forget the ends up to ``number``; a lapse voids those before it."""
+        for end in self.ended:
+            member = self.members_ended[end.number]
+            if end.number <= number and member.ended_at >= self.lapsed_at:
+                member.acknowledged = True
+        self.ended = [e for e in self.ended if e.number > number]
+
     def restart(self) -> None:
         """Begin a new incarnation; the runs of the former one are gone."""
         self.down = False
@@ -148,10 +171,11 @@
         self.answer_s = answer_s
 
     async def start(self, order, *, deadline_s, send_within_s, timeout_s):
+        sent_at = self.play.now
         return await self._call(
             "start",
             order.worker_id,
-            lambda m: self._start(m, order, deadline_s),
+            lambda m: self._start(m, order, deadline_s, sent_at),
             timeout_s,
             send_within_s,
         )
@@ -170,7 +194,7 @@
         worker_id,
         address,
         *,
-        born,
+        born=0,
         acknowledged,
         deadline_s,
         wait_s,
@@ -209,12 +233,15 @@
             play.spawn(self._deliver(machine, worker_id, carry_out, fault.late_s))
         if delivery is not None:
             await asyncio.wait({delivery}, timeout=timeout_s)
-        answered = fault.fate in (Fate.DELIVERED, Fate.DOUBLED)
-        back_at = play.now + self.answer_s / 2
+        answered = fault.fate in (Fate.DELIVERED, Fate.DOUBLED, Fate.OVERTAKEN)
+        back_s = self.answer_s / 2
+        if fault.fate is Fate.OVERTAKEN:
+            back_s += fault.late_s
+        back_at = play.now + back_s
         if not answered or not delivery.done() or back_at > until:
             await asyncio.sleep(max(0.0, until - play.now))
             return NO_ANSWER
-        await asyncio.sleep(self.answer_s / 2)
+        await asyncio.sleep(back_s)
         # The process may have ended before it sent its answer.
         return CLOSED if machine.down else delivery.result()
 
@@ -230,14 +257,14 @@
         answer = carry_out(machine)
         return await answer if asyncio.iscoroutine(answer) else answer
 
-    def _start(self, machine, order, deadline_s):
+    def _start(self, machine, order, deadline_s, sent_at):
         play, key = self.play, (order.task, order.run)
         play.extend_lease(machine, deadline_s)
         if key in machine.running:
             return play.now
         if order.run <= machine.highest.get(order.task, 0):
             return OrderRejected(reason="409 old", rejection="superseded")
-        play.begin(machine, order)
+        play.begin(machine, order, late=play.now - sent_at > LATE_AFTER_S)
         return play.now
 
     def _stop(self, machine, order):
@@ -249,9 +276,10 @@
 
     async def _poll(self, machine, born, acknowledged, deadline_s, wait_s):
         play, life = self.play, machine.lives
+        play.note_lapse(machine)
         if deadline_s is not None:
             play.extend_lease(machine, deadline_s)
-        machine.ended = [e for e in machine.ended if e.number > acknowledged]
+        machine.acknowledge(acknowledged)
         until = play.now + wait_s
         while not machine.ended and until - play.now > STEP_S / 1000:
             machine.ended_event.clear()
@@ -262,16 +290,21 @@
             return CLOSED
         if born and machine.born != born:
             return WorkerRestarted(reason="restarted", born=machine.born)
+        ends = tuple(machine.ended[: play.report_limit])
+        complete = len(ends) < play.report_limit
         rows = tuple(
             RunningTask(m.task, m.run, "", play.measure_percent(m))
             for m in machine.running.values()
         )
-        return WorkerReport(play.now, rows, tuple(machine.ended), born=machine.born)
+        return WorkerReport(play.now, rows, ends, complete=complete, born=machine.born)
 
 
 class GangPlay:
     """Plays jobs on machines under successive leaders, with faults."""
 
+    loop_factory = VirtualLoop
+    report_limit = MAX_ENDS_LISTED
+
     def __init__(
         self,
         machines: int,
@@ -344,13 +377,15 @@
         return next(m for m in self.machines if f"w{m.number}" == name)
 
     def extend_lease(self, machine: Machine, deadline_s: float) -> None:
+        self.note_lapse(machine)
         limit = min(deadline_s, self.now + MAX_LEASE_S)
         machine.lease_until = max(machine.lease_until, limit)
 
-    def begin(self, machine: Machine, order) -> None:
+    def begin(self, machine: Machine, order, *, late: bool) -> None:
         step = self.jobs[order.task.job_id].workload.steps[order.task.step]
         size = step.count if step.gang else 1
         member = Member(order.task, order.run, size, self.now, self.takes_s, machine)
+        member.late = late
         self.members.append(member)
         machine.running[order.task, order.run] = member
         if order.task.job_id in self.crash_after_s and not order.task.index:
@@ -389,9 +424,9 @@
         machine.highest[member.task] = max(
             member.run, machine.highest.get(member.task, 0)
         )
-        machine.ended.append(
-            EndedTask(next(machine.numbers), member.task, member.run, how, "")
-        )
+        number = next(machine.numbers)
+        machine.ended.append(EndedTask(number, member.task, member.run, how, ""))
+        machine.members_ended[number] = member
         machine.ended_event.set()
         if how == "done":
             self.done_at.setdefault(member.task.job_id, self.now)
@@ -400,18 +435,29 @@
         while True:
             await asyncio.sleep(STEP_S)
             for machine in self.machines:
-                for key, member in list(machine.running.items()):
-                    if key not in machine.running:
-                        continue
-                    waited_s = self.now - member.started_at
-                    whole_at = member.whole_at
-                    if self.now > machine.lease_until:
-                        self.end(machine, key, "lapsed")
-                    elif whole_at is None:
-                        if waited_s > GANG_START_TIMEOUT_S:
-                            self.end(machine, key, "alone")
-                    elif self.now - whole_at > member.takes_s:
-                        self.end(machine, key, "done")
+                self._end_due(machine)
+
+    def note_lapse(self, machine: Machine) -> None:
+        """End everything on a machine whose lease has expired."""
+        if self.now > machine.lease_until:
+            self._end_due(machine)
+
+    def _end_due(self, machine: Machine) -> None:
+        """End the runs whose lease has expired, that waited too long, or are done."""
+        if self.now > machine.lease_until:
+            machine.lapsed_at = max(machine.lapsed_at, machine.lease_until)
+        for key, member in list(machine.running.items()):
+            if key not in machine.running:
+                continue
+            waited_s = self.now - member.started_at
+            whole_at = member.whole_at
+            if self.now > machine.lease_until:
+                self.end(machine, key, "lapsed")
+            elif whole_at is None:
+                if waited_s > GANG_START_TIMEOUT_S:
+                    self.end(machine, key, "alone")
+            elif self.now - whole_at > member.takes_s:
+                self.end(machine, key, "done")
 
     async def _register_machines(self) -> None:
         seen: dict[str, float] = {}
@@ -469,8 +515,10 @@
     # -- jobs and leaders ----------------------------------------------------------
 
     def submit(self, name: str, *, count=2, gang=True, need=8, priority=1) -> None:
-        step = make_step(count, need, gang=gang)
-        job = make_job(name, step, priority=priority, at=self.now)
+        self.submit_steps(name, make_step(count, need, gang=gang), priority=priority)
+
+    def submit_steps(self, name: str, *steps, priority=1) -> None:
+        job = make_job(name, *steps, priority=priority, at=self.now)
         self.jobs[name] = job
         self.store.put(JOBS + name, encode_accepted(job))
 
@@ -504,9 +552,12 @@
         term.client = client
         term.timeline = timeline
         term.core.configuration = QueueConfiguration(1, QUEUES)
-        self.terms.append((term, self.spawn(term.run())))
+        self.terms.append((term, self.spawn_leader(term)))
         return term
 
+    def spawn_leader(self, term: Term) -> asyncio.Task:
+        return self.spawn(term.run())
+
     async def kill_leader(self) -> None:
         """End the leader's process; calls in flight still arrive."""
         self._succeeding = True
@@ -564,7 +615,7 @@
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
 
-        with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        with asyncio.Runner(loop_factory=self.loop_factory) as runner:
             runner.run(run())
         return self
 
@@ -589,6 +640,28 @@
             and b.started_at < (a.ended_at or math.inf)
         ]
 
+    def find_starts_after_done(self) -> list[tuple[Member, Member]]:
+        """Return the pairs of a run that ended as done and a later one of its task.
+
+        The end was acknowledged, before or after the later start, by any leader. One
+        such end stands for all members of a gang. Nobody can prevent that a worker's
+        next life carries out a late copy of the order for the run that ended.
+        """
+        acknowledged = {
+            m.unit_run for m in self.members if m.acknowledged and m.how == "done"
+        }
+        starts = collections.defaultdict(list)
+        for member in self.members:
+            starts[member.task].append(member)
+        return [
+            (a, b)
+            for a in self.members
+            if a.unit_run in acknowledged
+            for b in starts[a.task]
+            if a is not b and a.ended_at <= b.started_at
+            if not (b.late and b.run <= a.run)
+        ]
+
 
 LATE_S = (0.5, 2.0, 6.0, 11.0)
 FAULTS = (Fate.LOST, Fate.UNANSWERED, Fate.LATE, Fate.DOUBLED, Fate.NOT_SENT)
--- a/features/support/gang_store.py
+++ b/features/support/gang_store.py
@@ -25,7 +25,10 @@
 
 
 class Fate(enum.Enum):
-    """What happens to a call; a late copy is carried out after ``Fault.late_s``."""
+    """What happens to a call; a late copy is carried out after ``Fault.late_s``.
+
+    An answer that is overtaken arrives as late.
+    """
 
     DELIVERED = "delivered"
     NOT_SENT = "not sent"
@@ -33,6 +36,7 @@
     UNANSWERED = "unanswered"
     LATE = "late"
     DOUBLED = "doubled"
+    OVERTAKEN = "overtaken"
 
 
 @dataclasses.dataclass(frozen=True)
