Play restarts, stalls, overtaken answers and many small tasks at random

Tasks were started again after their ends as done by combinations that no play drew. The wide plays run the real terms, sessions and core in virtual time on workers that restart under their ids, several at one moment, and list few ends at a time; calls are lost, late, doubled or overtaken; the leader's process alone stands still for seconds, after which its timers fire before it reads its answers; many tasks fail or stand still together; jobs have dozens of small tasks, tasks without cores or memory, limits per worker, several steps, or last. Each play looks for a second start after an acknowledged end, two runs at one moment, background tasks that ended by an exception, and jobs that are stuck. The former plays check for second starts after ends as well; their draws are unchanged.

An order that was sent before an end and reached the worker's next life after it is no second start: nobody can prevent that.

--- a/features/steps/node_gang_apart_steps.py
+++ b/features/steps/node_gang_apart_steps.py
@@ -252,6 +252,7 @@
     for what, play in context.plays.items():
         assert "gang" in play.done_at, (what, describe(play))
         assert not play.find_overlaps(), (what, describe(play))
+        assert not play.find_starts_after_done(), (what, describe(play))
 
 
 @when(
@@ -289,4 +290,5 @@
 def check_random(context):
     for seed, play in context.plays.items():
         assert not play.find_overlaps(), (seed, play.find_overlaps()[:2])
+        assert not play.find_starts_after_done(), (seed, play.find_starts_after_done())
         assert set(play.done_at) == set(play.jobs), (seed, play.events, play.done_at)
--- a/features/steps/node_lost_workers_steps.py
+++ b/features/steps/node_lost_workers_steps.py
@@ -116,3 +116,4 @@
         undone = set(play.jobs) - set(play.done_at)
         assert not lost, f"seed {seed}: not reached: {lost}; not done: {undone}"
         assert not undone, f"seed {seed}: not done: {undone}"
+        assert not play.find_starts_after_done(), f"seed {seed}: started after done"
--- a/features/support/crash_plays.py
+++ b/features/support/crash_plays.py
@@ -136,6 +136,10 @@
         for name, state in states.items()
         if state != ("failed" if name in play.crash_after_s else "completed")
     ]
+    problems += [
+        f"{a.task} started as run {b.run} after run {a.run} had ended as done"
+        for a, b in play.find_starts_after_done()
+    ]
     problems += [
         f"task {index} of {name} was started {count} times"
         for (name, index), count in starts.items()
--- a/features/support/gang_faults.py
+++ b/features/support/gang_faults.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 import itertools
 import json
 import math
@@ -56,8 +57,6 @@
 HEARTBEAT_S = 1.0
 ENTRY_TTL_S = 3 * HEARTBEAT_S
 ELECTION_S = 0.15
-LATE_AFTER_S = 0.4
-"""Seconds from which an order is a late copy."""
 
 
 @dataclasses.dataclass
@@ -75,18 +74,13 @@
     how: str = ""
     acknowledged: bool = False
     """Whether a poll acknowledged its end, with no lapse of the lease in between."""
-    late: bool = False
-    """Whether a late copy of its order started it."""
+    sent_at: float = 0.0
+    """When the order that started it was sent."""
 
     @property
     def gang(self):
         return self.task.job_id, self.task.occurrence, self.task.step, self.run
 
-    @property
-    def unit_run(self):
-        """Return what names the run: one end of a gang's member stands for all."""
-        return (*self.gang, None if self.size > 1 else self.task.index)
-
     def measure_wait(self, now: float) -> float:
         """Return for how long the member has run without the whole gang."""
         ends = [t for t in (self.whole_at, self.ended_at) if t is not None]
@@ -220,17 +214,15 @@
         if machine.down and fault.fate is not Fate.LOST:
             await asyncio.sleep(self.answer_s)
             return REFUSED
-        late = fault.fate is Fate.LATE
+        arrives = functools.partial(
+            self._deliver, machine, worker_id, carry_out, kind, machine.lives
+        )
+        late_s = fault.late_s if fault.fate is Fate.LATE else 0.0
         until = play.now + timeout_s
-        if fault.fate is Fate.LOST:
-            delivery = None
-        else:
-            # A call in flight arrives even if its sender is gone.
-            delivery = play.spawn(
-                self._deliver(machine, worker_id, carry_out, late * fault.late_s)
-            )
+        # A call in flight arrives even if its sender is gone.
+        delivery = None if fault.fate is Fate.LOST else play.spawn(arrives(late_s))
         if fault.fate is Fate.DOUBLED:
-            play.spawn(self._deliver(machine, worker_id, carry_out, fault.late_s))
+            play.spawn(arrives(fault.late_s))
         if delivery is not None:
             await asyncio.wait({delivery}, timeout=timeout_s)
         answered = fault.fate in (Fate.DELIVERED, Fate.DOUBLED, Fate.OVERTAKEN)
@@ -245,10 +237,12 @@
         # The process may have ended before it sent its answer.
         return CLOSED if machine.down else delivery.result()
 
-    async def _deliver(self, machine, worker_id, carry_out, after_s):
+    async def _deliver(self, machine, worker_id, carry_out, kind, life, after_s):
         await asyncio.sleep(after_s + self.answer_s / 2)
         if machine.down:
             return REFUSED
+        if machine.lives != life and kind not in self.play.outliving:
+            return CLOSED
         if machine.worker_id != worker_id:
             return WorkerReplaced(reason="another incarnation")
         if self.token < machine.token:
@@ -264,7 +258,7 @@
             return play.now
         if order.run <= machine.highest.get(order.task, 0):
             return OrderRejected(reason="409 old", rejection="superseded")
-        play.begin(machine, order, late=play.now - sent_at > LATE_AFTER_S)
+        play.begin(machine, order, sent_at=sent_at)
         return play.now
 
     def _stop(self, machine, order):
@@ -304,6 +298,8 @@
 
     loop_factory = VirtualLoop
     report_limit = MAX_ENDS_LISTED
+    outliving = frozenset(("start", "stop", "poll"))
+    """Kinds of calls that may reach a later incarnation than they were meant for."""
 
     def __init__(
         self,
@@ -381,11 +377,11 @@
         limit = min(deadline_s, self.now + MAX_LEASE_S)
         machine.lease_until = max(machine.lease_until, limit)
 
-    def begin(self, machine: Machine, order, *, late: bool) -> None:
+    def begin(self, machine: Machine, order, *, sent_at: float) -> None:
         step = self.jobs[order.task.job_id].workload.steps[order.task.step]
         size = step.count if step.gang else 1
         member = Member(order.task, order.run, size, self.now, self.takes_s, machine)
-        member.late = late
+        member.sent_at = sent_at
         self.members.append(member)
         machine.running[order.task, order.run] = member
         if order.task.job_id in self.crash_after_s and not order.task.index:
@@ -645,21 +641,20 @@
 
         The end was acknowledged, before or after the later start, by any leader. One
         such end stands for all members of a gang. Nobody can prevent that a worker's
-        next life carries out a late copy of the order for the run that ended.
+        next life carries out an order that was sent before the end.
         """
-        acknowledged = {
-            m.unit_run for m in self.members if m.acknowledged and m.how == "done"
-        }
+        done = {id(m): m for m in self.members if m.acknowledged and m.how == "done"}
+        gangs = {m.gang for m in done.values() if m.size > 1}
         starts = collections.defaultdict(list)
         for member in self.members:
             starts[member.task].append(member)
         return [
             (a, b)
             for a in self.members
-            if a.unit_run in acknowledged
+            if id(a) in done or a.size > 1 and a.gang in gangs
             for b in starts[a.task]
             if a is not b and a.ended_at <= b.started_at
-            if not (b.late and b.run <= a.run)
+            if b.run > a.run or b.sent_at > a.ended_at
         ]
 
 
--- a/features/support/wide_plays.py
+++ b/features/support/wide_plays.py
@@ -4,9 +4,11 @@
 """
 
 import asyncio
+import contextlib
 import contextvars
 import dataclasses
 import heapq
+import logging
 import random
 
 from features.support.crash_plays import find_double_runs
@@ -15,14 +17,39 @@
 from features.support.gang_store import Fate, Fault
 from features.support.virtual_time import VirtualLoop
 from firladder._internal.models.workload import Resources
+from firladder._internal.utils import tasks
 
 MACHINES = 6
 EVENTS_UNTIL_S = 20.0
 SECONDS = 60.0
+STUCK_S = 20.0
+"""Seconds without a start from which open jobs count as stuck: tasks that crashes were
+charged to run alone, which takes long for a wide job."""
 SMALL = Resources(40, 40, 0)
 LEADER: contextvars.ContextVar[int] = contextvars.ContextVar("leader", default=0)
 
 
+class FailedTasks(logging.Handler):
+    """Collects what is logged of background tasks that have ended by an exception."""
+
+    def __init__(self) -> None:
+        super().__init__(logging.ERROR)
+        self.found: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.found.append(f"{record.getMessage()}: {record.exc_info}")
+
+
+@contextlib.contextmanager
+def collect_failed_tasks():
+    handler = FailedTasks()
+    tasks.logger.addHandler(handler)
+    try:
+        yield handler.found
+    finally:
+        tasks.logger.removeHandler(handler)
+
+
 class StallingLoop(VirtualLoop):
     """Lets one leader's process stand still while everything else goes on.
 
@@ -111,9 +138,9 @@
         token = self.terms[-1][0].leadership.token
         asyncio.get_running_loop().stall(token, seconds)
 
-    def begin(self, machine, order, *, late) -> None:
+    def begin(self, machine, order, *, sent_at) -> None:
         self.takes_s = self.takes_by_job.get(order.task.job_id, 3.0)
-        super().begin(machine, order, late=late)
+        super().begin(machine, order, sent_at=sent_at)
 
     def end_all(self, machine, how: str) -> None:
         """End everything on a machine at one moment."""
@@ -129,10 +156,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Draws:
-    """What a play may contain besides restarts, cuts, outages and failures."""
+    """What a play may contain besides restarts, cuts, outages and failures.
+
+    ``outliving`` has the kinds of calls that reach a later life of a worker than they
+    were meant for.
+    """
 
     leaders: bool = False
     stalls: bool = True
+    keep_ids: bool = True
+    report_limits: tuple[int, ...] = (2, 5, 20, 500)
+    outliving: frozenset[str] = frozenset()
 
 
 def draw_steps(rng: random.Random) -> list:
@@ -229,39 +263,54 @@
         faults=draw_faults(rng),
         seed=seed,
         per_rack=3,
-        keep_ids=rng.random() < 0.8,
+        keep_ids=draws.keep_ids and rng.random() < 0.8,
     )
-    play.report_limit = rng.choice((2, 5, 20, 500))
+    play.report_limit = rng.choice(draws.report_limits)
+    play.outliving = draws.outliving
 
     async def script(play: WidePlay) -> None:
         play.spawn(submit_jobs(play, rng))
         await disturb(play, rng, draws)
 
-    return play.play(script, seconds=SECONDS)
+    with collect_failed_tasks() as play.failed_tasks:
+        return play.play(script, seconds=SECONDS)
 
 
 def describe_pair(first, later) -> str:
     """Return where and when two runs of a task were."""
     return " / ".join(
         f"run {m.run} on {m.machine.number} from {m.started_at:.2f} to"
-        f" {m.ended_at or 0.0:.2f} {m.how}{' late' * m.late}"
+        f" {m.ended_at or 0.0:.2f} {m.how}, sent {m.sent_at:.2f}"
         for m in (first, later)
     )
 
 
-def find_wide_problems(play: WidePlay) -> list[str]:
-    """Return the tasks that ran twice, and the jobs that have no outcome."""
-    term, _ = play.terms[-1]
-    problems = [
+def find_double_starts(play: WidePlay) -> list[str]:
+    """Return the tasks that ran twice at one moment, or after an end as done."""
+    after_done = [
         f"started after done: {a.task} {describe_pair(a, b)}"
         for a, b in play.find_starts_after_done()
         if a.task.job_id not in play.lasting
     ]
-    problems += [f"twice: {found}" for found in find_double_runs(play)]
-    open_jobs = [
+    return after_done + [f"twice: {found}" for found in find_double_runs(play)]
+
+
+def find_stuck(play: WidePlay) -> list[str]:
+    """Return the jobs without an outcome if nothing has started for long."""
+    newest = max((m.started_at for m in play.members), default=0.0)
+    if newest >= SECONDS - STUCK_S:
+        return []
+    term, _ = play.terms[-1]
+    return [
         name
         for name in play.jobs
         if name not in play.lasting
         and term.core.read_state(name).value not in ("completed", "failed")
     ]
-    return problems + [f"{name} has no outcome" for name in open_jobs]
+
+
+def find_wide_problems(play: WidePlay) -> list[str]:
+    """Return all that a play shows and that must not happen."""
+    failed = [f"ended by an exception: {found}" for found in play.failed_tasks]
+    stuck = [f"stuck: {name}" for name in find_stuck(play)]
+    return find_double_starts(play) + failed + stuck
