Show a job as running once a task of it is done

A task whose start got no answer, and whose run counted as over before the worker listed its end, left its job queued in the leader and running in the records: a caller saw the state go back, and the job counted as pending. The function that completes a unit late has a name that says so.

--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -246,7 +246,7 @@
         listed = describe_listed(worker, end.task, end.run, unit)
         self.note("done without a run", number=end.number, **listed)
         if not (job.terminal or unit.step.lasting):
-            self._complete_early(unit)
+            self._complete_by_former_run(unit)
 
     def _record_outcome(
         self, worker: Worker, placement: Placement, ending: Ending, now: float
--- a/src/firladder/_internal/engine/runs.py
+++ b/src/firladder/_internal/engine/runs.py
@@ -345,7 +345,7 @@
         if unit.state is not UnitState.BUSY:
             return
         if ending == "done" and not unit.step.lasting:
-            unit.state = UnitState.DONE
+            self._mark_done(unit)
             if unit.job.accepted.priority == 0:
                 self.note("urgent work ended", **self._describe_done(unit, placement))
             self._check_completed(unit.job)
@@ -394,12 +394,17 @@
             unit.state = UnitState.FAILED
             self._end_job(job, JobState.FAILED)
 
-    def _complete_early(self, unit: Unit) -> None:
+    def _mark_done(self, unit: Unit) -> None:
+        unit.state = UnitState.DONE
+        if unit.job.state is JobState.QUEUED:
+            unit.job.state = JobState.RUNNING
+
+    def _complete_by_former_run(self, unit: Unit) -> None:
         """Record that a unit was done by a run that counted as over.
 
         What has been started of it since then is stopped.
         """
-        unit.state = UnitState.DONE
+        self._mark_done(unit)
         self._stop_placements(unit)
         self._mark_changed(unit.job)
         self._check_completed(unit.job)
