Keep the known start of a worker when an entry lacks it

What callers could see: tasks that were done run again on a worker that started again under its id.

Cause: an entry without `born` replaced the known one by 0, which compares equal with every incarnation, so that the next one's ends were skipped under the numbers of the former. Entries may lack fields, as another writer may have written them.

--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -27,6 +27,9 @@
         """Add a worker, or update it with its newest entry; return it."""
         self.profiles.bind(entry)
         worker = self.workers.get(entry.worker_id)
+        if worker is not None and not entry.born:
+            # Otherwise the next incarnation would be taken for this one.
+            entry = dataclasses.replace(entry, born=worker.entry.born)
         if worker is not None and entry.born in worker.former_lives:
             # An answer has shown the next incarnation before its entry came.
             return worker
--- a/src/firladder/_internal/node/records.py
+++ b/src/firladder/_internal/node/records.py
@@ -162,11 +162,12 @@
         self, job_id: str
     ) -> JobState | JobGone | StoreUnavailable | OutcomeUnknown:
         """Return the state of a job as recorded in the store."""
-        accepted, cancelled, progress = await asyncio.gather(
+        accepted, cancelled = await asyncio.gather(
             self._store.read_item(JOBS + job_id),
             self._store.read_item(CANCELS + job_id),
-            self._store.read_item(PROGRESS + job_id),
         )
+        # Read afterwards: an outcome that was stored before the cancellation stands.
+        progress = await self._store.read_item(PROGRESS + job_id)
         for found in (accepted, cancelled, progress):
             if not isinstance(found, Item | NotFound):
                 return OutcomeUnknown(reason=found.reason)
