Let no late poll acknowledge ends of a worker's next life

What callers could see: a task that was done runs again on a worker that started again under its id.

Cause: a poll that acknowledges ends and got no answer may be carried out seconds later, by the next life of its worker, whose ends have the same numbers. Leases and starts that may arrive late were carried over to the next life, acknowledgements were not.

Change: as long as such a poll may arrive, nothing starts on the next life. Ends that are kept for jobs whose records cannot be read are acknowledged once half of a report is full, as the worker would list no new ends of other jobs.

--- a/src/firladder/_internal/engine/leases.py
+++ b/src/firladder/_internal/engine/leases.py
@@ -81,3 +81,17 @@
 def convert_recorded_expiry(expiry_wall: float, *, now: float, wall: float) -> float:
     """Convert a recorded expiry, in Unix time, to this leader's clock."""
     return now + max(0.0, expiry_wall - wall) + WALL_SKEW_S
+
+
+def record_acknowledgement_sent(worker: Worker, *, now: float) -> None:
+    """Record that a poll which acknowledges ends was sent and may arrive very late."""
+    worker.open_acknowledgements = {
+        sent_at: until
+        for sent_at, until in worker.open_acknowledgements.items()
+        if until > now
+    } | {now: now + LATE_ORDER_S}
+
+
+def record_acknowledgement_settled(worker: Worker, *, sent_at: float) -> None:
+    """Record that a poll which acknowledges ends has arrived, or never will."""
+    worker.open_acknowledgements.pop(sent_at, None)
--- a/src/firladder/_internal/engine/losses.py
+++ b/src/firladder/_internal/engine/losses.py
@@ -83,7 +83,8 @@
         """Replace a worker by its next incarnation under the same id; return that.
 
         The next one knows no runs and no fencing token, and counts its ends anew. Calls
-        that were meant for the former one may still reach it, with their leases.
+        that were meant for the former one may still reach it, with their leases. As
+        long as one of them may acknowledge ends there unread, nothing starts there.
         """
         next_life = Worker(
             entry,
@@ -92,6 +93,8 @@
             granted_until=worker.granted_until,
             grants_sent=worker.grants_sent,
             open_grants=dict(worker.open_grants),
+            open_acknowledgements=dict(worker.open_acknowledgements),
+            full_until=worker.acknowledgements_arrive_until,
         )
         worker_id, reason = worker.worker_id, "started again under its id"
         self.lose_worker(worker_id, reason, now=now, next_life=next_life)
--- a/src/firladder/_internal/engine/reports.py
+++ b/src/firladder/_internal/engine/reports.py
@@ -136,6 +136,7 @@
                 self._read_end(worker, end, now)
             elif (end.task, end.run) in worker.placements:
                 self._note_skipped_end(worker, end)
+        worker.release_kept_ends()
         reported_runs = {(row.task, row.run) for row in report.running}
         for row in report.running:
             placement = worker.placements.get((row.task, row.run))
--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -18,6 +18,11 @@
 """Seconds that a worker's entry takes to its leader at most."""
 
 
+MAX_KEPT_ENDS = 250
+"""Ends that a worker is left to list for jobs whose records cannot be read, with those
+behind them: half of a report, so that it still lists all new ones."""
+
+
 class Phase(enum.Enum):
     """The phase of a placement's orders.
 
@@ -350,8 +355,11 @@
     says that it was silent for long before it closed one, or that the former leader had
     an explanation for its loss. ``drain_noticed`` says that this leader saw it begin to
     drain. ``lapsed`` has the runs that ended when its leases expired; it is kept until
-    ``lapsed_until``. ``ends_complete`` says that its newest report listed all ends that
-    are not acknowledged. ``former_lives`` has the starts of its former incarnations.
+    ``lapsed_until``. ``first_kept_end`` is the first end that is not acknowledged, as
+    its job's records cannot be read. ``open_acknowledgements`` has, for each poll that
+    acknowledges ends and got no answer, by when it was sent, until when it may arrive.
+    ``ends_complete`` says that its newest report listed all ends that are not
+    acknowledged. ``former_lives`` has the starts of its former incarnations.
     """
 
     entry: WorkerEntry
@@ -374,6 +382,7 @@
     last_end_read: int = 0
     last_end_acknowledged: int = 0
     first_kept_end: float = math.inf
+    open_acknowledgements: dict[float, float] = dataclasses.field(default_factory=dict)
     ends_complete: bool = True
     former_lives: frozenset[int] = frozenset()
     unacknowledged_ends: list[tuple[int, "Job | None", int]] = dataclasses.field(
@@ -490,6 +499,16 @@
         """Acknowledge no end from ``number`` on: its job's records cannot be read."""
         self.first_kept_end = min(self.first_kept_end, number)
 
+    @property
+    def acknowledgements_arrive_until(self) -> float:
+        """Return until when a poll without an answer may acknowledge ends."""
+        return max(self.open_acknowledgements.values(), default=0.0)
+
+    def release_kept_ends(self) -> None:
+        """Acknowledge all ends if a report has little room left beside kept ones."""
+        if len(self.unacknowledged_ends) > MAX_KEPT_ENDS:
+            self.first_kept_end = math.inf
+
     def drop_acknowledged_ends(self, number: int) -> None:
         """Drop the ends up to ``number``, which were acknowledged to the worker."""
         self.last_end_acknowledged = max(self.last_end_acknowledged, number)
--- a/src/firladder/_internal/node/worker_session.py
+++ b/src/firladder/_internal/node/worker_session.py
@@ -13,6 +13,7 @@
     NotSent,
     OrderFailure,
     OrderRejected,
+    SentUnanswered,
     WorkerRefused,
     WorkerReplaced,
     WorkerRestarted,
@@ -208,6 +209,8 @@
             # only polled, and gets its lease once it answers.
             deadline_s = None
         acknowledged = worker.choose_acknowledgement()
+        if acknowledged:
+            leases.record_acknowledgement_sent(worker, now=sent_at)
         wait_s = self._choose_wait() if may_wait and deadline_s is None else 0.0
         if wait_s:
             self._waiting_poll_open = True
@@ -227,6 +230,8 @@
         now = context.clock.read_monotonic()
         if wait_s:
             self._waiting_poll_open = False
+        if not isinstance(answer, SentUnanswered):
+            leases.record_acknowledgement_settled(worker, sent_at=sent_at)
         if isinstance(answer, WorkerReport):
             if grant:
                 leases.record_grant_answered(
