--- a/src/firladder/_internal/engine/state.py
+++ b/src/firladder/_internal/engine/state.py
@@ -17,7 +17,6 @@
 MAX_ENTRY_DELAY_S = 0.5
 """Seconds that a worker's entry takes to its leader at most."""
 
-
 MAX_KEPT_ENDS = 250
 """Ends that a worker is left to list for jobs whose records cannot be read, with those
 behind them: half of a report, so that it still lists all new ones."""
@@ -180,7 +179,7 @@
     negative before. ``first_start_at`` is when the first start of the current run was
     sent, or None; ``durable_at`` is when it was queued, once the run was durable.
     ``work_s`` is the run time of the ended unit on usual workers, or 0 if not measured.
-    sent, or None. ``lost_core_s`` is the work that preemptions have cost, in
+    ``lost_core_s`` is the work that preemptions have cost, in
     core-seconds, as far as this leader knows.
     """
 
--- a/src/firladder/_internal/node/progress_writer.py
+++ b/src/firladder/_internal/node/progress_writer.py
@@ -49,6 +49,10 @@
     compares the revision of the record that it replaces, so that a late write finds it
     changed and has no effect. A write that decides a job's outcome also compares the
     key of its cancellation, so that whichever is stored first stands.
+
+    What a write contains is offered until its answer is known. A write without an
+    answer stays uncertain until a later one succeeds, or its conflict shows the record:
+    the newest uncertain version with the same bytes is the one that is stored.
     """
 
     def __init__(
@@ -181,7 +185,8 @@
                 reason="the leader's key belongs to another node or is gone"
             )
         # Only the leader writes progress, so a changed record was changed by an
-        # earlier write of this term whose answer was lost.
+        # earlier write of this term whose answer was lost. The other cause of a
+        # conflict is a cancellation that was stored before the outcome.
         for job_id, job in jobs.items():
             item = conflict.find(PROGRESS + job_id)
             revision = item.revision if item is not None else 0
