--- /dev/null
+++ b/review/lib3/__init__.py
@@ -0,0 +1,1 @@
+"""Shared parts of the third review's scripts."""
