--- a/review/lib3/case.py
+++ b/review/lib3/case.py
@@ -194,6 +194,16 @@
         self.note(f"runners {numbers} crash, down for {down_s} s")
         self.restart_workers(numbers, down_s=down_s)
 
+    def cut_from_store(self, number: int, *, for_s: float) -> None:
+        """Cut a runner off from the store, but not from the machines."""
+        self.note(f"runner {number} is cut off from the store for {for_s} s")
+        call(self.store, "POST", f"/cut-from-store/{number}", {"for_s": for_s})
+
+    def add_foreign_entry(self, number: int) -> None:
+        """Let another writer keep an entry that names a runner's address."""
+        self.note(f"another writer keeps an entry with the address of runner {number}")
+        call(self.store, "POST", f"/foreign-entry/{number}", {})
+
     def refuse(self, job_id: str) -> None:
         """Let the advice service allow no runner for a job's steps."""
         self.note(f"the policy allows no runner for job {job_id}")
--- a/review/lib3/workers.py
+++ b/review/lib3/workers.py
@@ -3,12 +3,14 @@
 A restarted runner registers at once, not with its next heartbeat. A runner can be
 drained and taken away: it announces the drain, serves on for ``drain_s``, and then
 leaves for good. Running tasks may save checkpoints. The store refuses values that are
-too long. The advice service may allow no runner for the steps of a job.
+too long. The advice service may allow no runner for the steps of a job. A runner can be
+cut off from the store alone, and another writer's entry can name its address.
 """
 
 import asyncio
 import base64
 import hashlib
+import itertools
 import os
 from typing import Any
 
@@ -30,6 +32,18 @@
 
 GONE_S = 1000.0
 
+HEARTBEAT_S = 1.5
+"""``heartbeat_ms`` of the settings."""
+
+SILENT_BEATS = 3
+"""Heartbeat intervals of silence after which the store removes an entry."""
+
+REGISTERED_AGAIN_S = 2.0
+"""Seconds after a cut until a runner's entry is back, as the pages say."""
+
+FOREIGN_SERVICE = "node-exporter"
+FOREIGN_KEY = "servers/node-exporter-1"
+
 REFUSED_JOBS: set[str] = set()
 """Jobs whose steps no runner may run."""
 
@@ -69,6 +83,28 @@
     await STORES[0].put(f"servers/{worker.worker_id}", entry)
 
 
+async def cut_from_store(worker: platform_workers.Worker, for_s: float) -> None:
+    """Cut a runner off from the store alone: its entry is removed, and comes back.
+
+    The store removes it after three heartbeat intervals of silence. The runner writes
+    it again two seconds after the cut.
+    """
+    await asyncio.sleep(min(for_s, SILENT_BEATS * HEARTBEAT_S))
+    await STORES[0].apply([], [f"servers/{worker.worker_id}"])
+    await asyncio.sleep(max(0.0, for_s - SILENT_BEATS * HEARTBEAT_S))
+    await asyncio.sleep(REGISTERED_AGAIN_S)
+    await register(worker)
+
+
+async def write_foreign_entry(worker: platform_workers.Worker) -> None:
+    """Write an entry for a service that isn't configured, at a runner's address."""
+    for seq in itertools.count(1):
+        entry = worker.describe()
+        entry |= {"backend": FOREIGN_SERVICE, "seq": seq}
+        await STORES[0].put(FOREIGN_KEY, msgspec.json.encode(entry))
+        await asyncio.sleep(HEARTBEAT_S)
+
+
 async def restart(worker: platform_workers.Worker, down_s: float) -> None:
     """Crash without a word, come back later with a new id, and register."""
     if not worker.down:
@@ -85,6 +121,25 @@
     await _restart(worker, GONE_S)
 
 
+@routes.route("POST", "/cut-from-store/{number}")
+async def start_cut(app: platform.PlatformApp, call: HttpCall) -> HttpReply:
+    """Cut a runner off from the store for a while."""
+    body = msgspec.json.decode(call.body)
+    worker = app.ledger.workers[int(call.params["number"])]
+    cut = asyncio.ensure_future(cut_from_store(worker, body["for_s"]))
+    app.ledger.tasks.add(cut)
+    return reply_json({})
+
+
+@routes.route("POST", "/foreign-entry/{number}")
+async def start_foreign(app: platform.PlatformApp, call: HttpCall) -> HttpReply:
+    """Let another writer keep an entry with a runner's address from now on."""
+    worker = app.ledger.workers[int(call.params["number"])]
+    written = asyncio.ensure_future(write_foreign_entry(worker))
+    app.ledger.tasks.add(written)
+    return reply_json({})
+
+
 @routes.route("POST", "/refuse-job/{job}")
 async def refuse_job(app: platform.PlatformApp, call: HttpCall) -> HttpReply:
     """Let the advice service allow no runner for a job from now on."""
