--- a/review/lib3/case.py
+++ b/review/lib3/case.py
@@ -4,6 +4,7 @@
 import json
 import os
 import shutil
+import socket
 import sys
 import threading
 import time
@@ -24,6 +25,9 @@
 ATTEMPTS = 5
 """How often a client sends a job: once, and the four retries of the sheets."""
 
+MAX_BLOCKS_TRIED = 20
+"""Blocks of ports that are tried until one is found on which nothing listens."""
+
 MAX_SHOWN = 400
 """Characters of a body that the record shows, the first ones."""
 
@@ -110,12 +114,25 @@
         platform_site.SETTINGS_TEMPLATE = SETTINGS
         platform_site.ChildProcess = PlatformProcess  # type: ignore[misc]
         zones = ("bern-halle", "olten-halle", "aarau-halle")
-        super().__init__(nodes=3, workers=workers, domains=zones, **options)
+        self._skipped_locks: list[socket.socket] = []
+        for _ in range(MAX_BLOCKS_TRIED):
+            super().__init__(nodes=3, workers=workers, domains=zones, **options)
+            if self._has_free_ports():
+                break
+            # Keeps the block reserved, so that the next one is taken.
+            self._skipped_locks.append(self._lock)
+            shutil.rmtree(self.directory)
         self.began_at = time.monotonic()
         self.finished = False
         self._enforcing: threading.Thread | None = None
         self._record = (folder / "record.txt").open("w")
 
+    def _has_free_ports(self) -> bool:
+        """Return whether nothing listens on the ports of this deployment."""
+        ports = (self.peer_port, self.metrics_port, self.front, self.ready)
+        own = [f"{ip}:{port}" for ip in self.ips for port in ports]
+        return all(map(is_free, (self.store, self.advice, *self.workers, *own)))
+
     def note(self, text: str) -> None:
         """Write a line to the record."""
         self._record.write(f"{time.monotonic() - self.began_at:8.3f} {text}\n")
@@ -243,6 +260,8 @@
             self.note(f"running: {self.list_running()}")
         finally:
             self.stop()
+            for lock in self._skipped_locks:
+                lock.close()
             keep = os.environ.get("KEEP_LOGS", "")
             if keep:
                 Path(keep).write_text(self.read_logs())
@@ -250,6 +269,18 @@
             self._record.close()
 
 
+def is_free(address: str) -> bool:
+    """Return whether nothing listens on ``ip:port``."""
+    host, _, port = address.rpartition(":")
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, int(port)))
+        except OSError:
+            return False
+    return True
+
+
 def name_queue(queue: int | str) -> str:
     """Return the path's first part for a queue."""
     return queue if isinstance(queue, str) else f"q{queue}"
